--- /dev/null
+++ b/dotterelpier/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes shared by all services."""
--- /dev/null
+++ b/dotterelpier/model/call.py
@@ -0,0 +1,116 @@
+"""Calls, attempts and answers."""
+
+from collections.abc import Iterator
+from enum import Enum
+
+from attrs import field, frozen
+
+from dotterelpier.model.evidence import LoadReport
+from dotterelpier.model.membership import ServiceLoad
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Outcome(str, Enum):
+    """What a caller is told about its call."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@frozen
+class Call:
+    """A request of a caller.
+
+    Attributes
+    ----------
+    id : str
+        Unique id of the call.
+    service : str
+        Name of the service called.
+    method : str
+        HTTP method.
+    path : str
+        Path and query below the service, starting with ``/``.
+    headers : Headers
+        End-to-end headers to pass on.
+    body : bytes
+        Whole request body.
+    deadline_at : float
+        Deadline on the monotonic clock of this process, in seconds.
+    idempotency_key : str
+        Key of the caller, empty if none was given.
+    relayed_by : str
+        Id of the entry that relayed the call, empty if it came from a caller.
+    reservation : str
+        Token of a slot that this entry reserved for the call, empty if none.
+    """
+
+    id: str
+    service: str
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = field(default=b"", repr=False)
+    deadline_at: float = 0.0
+    idempotency_key: str = ""
+    relayed_by: str = ""
+    reservation: str = ""
+
+
+@frozen
+class Answer:
+    """An answer to a call or an attempt.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : Headers
+        End-to-end headers.
+    body : bytes
+        Whole body, empty if the answer is streamed.
+    stream : Iterator of bytes or None
+        Body of a large answer, in pieces.
+    outcome : Outcome
+        What the caller is told.
+    peer : str
+        Id of the backend server or entry that answered.
+    report : LoadReport or None
+        Load report of the backend server.
+    peer_load : ServiceLoad or None
+        Load of the service on the entry that relayed the answer.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = field(default=b"", repr=False)
+    stream: Iterator[bytes] | None = field(default=None, eq=False, repr=False)
+    outcome: Outcome = Outcome.ANSWERED
+    peer: str = ""
+    report: LoadReport | None = None
+    peer_load: ServiceLoad | None = None
+
+
+@frozen
+class Attempt:
+    """One sending of a call to one backend server.
+
+    Attributes
+    ----------
+    id : str
+        Unique id that the answer must echo.
+    call : Call
+        The call sent.
+    deadline_at : float
+        Deadline on the monotonic clock, in seconds; never later than that of
+        the call nor, where the lease must hold, than the end of the lease.
+    fresh_connection : bool
+        Whether the attempt may only use a connection not used before.
+    """
+
+    id: str
+    call: Call
+    deadline_at: float
+    fresh_connection: bool = False
