Whole path: settings, timer, platform, membership, homes, admission, calls

Caller to entry to backend server and back between separate processes. Leases are compare-and-set rows, homes follow one assignment row, slots are counted at the home.

--- /dev/null
+++ b/dotterelpier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/dotterelpier/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform, of backend servers and of other entries."""
--- /dev/null
+++ b/dotterelpier/clients/relays.py
@@ -0,0 +1,113 @@
+"""Connections to other entries that take relayed calls."""
+
+from concurrent.futures import Future
+
+from attrs import define
+
+from dotterelpier.clients.connections import (
+    ConnectionPool,
+    HttpAnswer,
+    HttpRequest,
+    PooledExchange,
+    make_connection_pool,
+)
+from dotterelpier.errors import AnswerLostError, RefusedError
+from dotterelpier.kernel import Kernel
+from dotterelpier.model.call import Answer, Call, Outcome
+from dotterelpier.model.membership import Member
+from dotterelpier.protocols import (
+    Clock,
+    Relays,
+    ServiceName,
+    TaskKind,
+    Tasks,
+    Timer,
+)
+from dotterelpier.settings import LimitSettings
+from dotterelpier.wire.backend import (
+    ATTEMPT_HEADER,
+    KEY_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    RELAY_HEADER,
+    RESERVATION_HEADER,
+    TIMEOUT_HEADER,
+    forwardable,
+    read_service_load,
+)
+
+MAX_ANSWER_BYTES = 16 << 20
+
+
+@define
+class RelayClient:
+    """Relays calls to other entries over HTTP."""
+
+    _pool: ConnectionPool
+    _clock: Clock
+    _own_id: str
+
+    def start(self) -> None:
+        """Start the pool."""
+        self._pool.start()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        self._pool.stop()
+
+    def relay(self, member: Member, call: Call) -> "Future[Answer]":
+        """Relay a call; the future fails with a ``CallError``."""
+        headers = dict(call.headers)
+        headers["Host"] = member.relay_address
+        headers[RELAY_HEADER] = self._own_id
+        headers[ATTEMPT_HEADER] = call.id
+        remaining_s = call.deadline_at - self._clock.monotonic()
+        headers[TIMEOUT_HEADER] = f"{max(remaining_s, 0.0):.4f}"
+        if call.idempotency_key:
+            headers[KEY_HEADER] = call.idempotency_key
+        if call.reservation:
+            headers[RESERVATION_HEADER] = call.reservation
+        exchange = PooledExchange(
+            HttpRequest(call.method, f"/{call.service}{call.path}", headers, call.body),
+            call.deadline_at,
+            MAX_ANSWER_BYTES,
+            decode=lambda answer: _decode(answer, call, member),
+            on_cancel=lambda: None,
+        )
+        self._pool.send(member.relay_address, exchange, fresh=False)
+        return exchange.answer
+
+
+def _decode(received: HttpAnswer, call: Call, member: Member) -> Answer:
+    headers = received.headers
+    load = read_service_load(headers.get(LOAD_HEADER, ""))
+    if headers.get(ATTEMPT_HEADER) != call.id:
+        message = f"answer to call {headers.get(ATTEMPT_HEADER)!r}, not {call.id!r}"
+        raise AnswerLostError(message, step="relay.answer", peer=member.id)
+    outcome = headers.get(OUTCOME_HEADER)
+    if outcome == Outcome.NOT_RUN:
+        message = f"relay refused with status {received.status}"
+        raise RefusedError(message, step="relay.answer", peer=member.id)
+    if outcome != Outcome.ANSWERED:
+        raise AnswerLostError("outcome unknown", step="relay.answer", peer=member.id)
+    return Answer(
+        received.status,
+        forwardable(headers.items()),
+        received.body,
+        peer=member.id,
+        peer_load=load,
+    )
+
+
+def make_relays(kernel: Kernel, limits: LimitSettings, own_id: str) -> Relays:
+    """Return the connections to other entries."""
+    clock = kernel.find(ServiceName.CLOCK, Clock)
+    pool = make_connection_pool(
+        "relay",
+        TaskKind.RELAY_CONNECTION,
+        limits.idle_connection_s,
+        clock,
+        kernel.find(ServiceName.TASKS, Tasks),
+        kernel.find(ServiceName.TIMER, Timer),
+    )
+    return RelayClient(pool, clock, own_id)
--- /dev/null
+++ b/dotterelpier/entry.py
@@ -0,0 +1,162 @@
+"""An entry: all services registered with one kernel."""
+
+import signal
+import threading
+import uuid
+from types import FrameType
+
+from loguru import logger
+
+from dotterelpier.clients.backends import make_backends
+from dotterelpier.clients.peers import make_peers
+from dotterelpier.clients.platform import make_platform_client
+from dotterelpier.clients.relays import make_relays
+from dotterelpier.errors import SettingsError
+from dotterelpier.frontends.callers import make_caller_frontend, make_relay_frontend
+from dotterelpier.frontends.operators import make_operator_frontend
+from dotterelpier.frontends.peers import make_peer_frontend
+from dotterelpier.kernel import Kernel, make_kernel
+from dotterelpier.model.membership import Member
+from dotterelpier.protocols import Drain, ServiceName
+from dotterelpier.services.admission import make_admission
+from dotterelpier.services.audit import make_audit
+from dotterelpier.services.calls import make_calls
+from dotterelpier.services.claims import make_claims
+from dotterelpier.services.clock import make_clock
+from dotterelpier.services.directory import make_directory
+from dotterelpier.services.drain import make_drain
+from dotterelpier.services.evidence import make_evidence
+from dotterelpier.services.homes import make_homes
+from dotterelpier.services.manifest import make_manifest_keeper
+from dotterelpier.services.membership import make_membership
+from dotterelpier.services.metrics import make_metrics
+from dotterelpier.services.routing import make_routing
+from dotterelpier.services.tasks import make_tasks
+from dotterelpier.services.timer import make_timer
+from dotterelpier.settings import EntrySettings, Settings
+
+
+def run_entry(settings: Settings) -> None:
+    """Run an entry until SIGTERM or SIGINT, then perform the planned stop.
+
+    Raises
+    ------
+    SettingsError
+        If the settings describe no entry.
+    """
+    stop_requested = threading.Event()
+
+    def request_stop(number: int, frame: FrameType | None) -> None:
+        stop_requested.set()
+
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
+    kernel = make_entry(settings)
+    kernel.start()
+    logger.info("entry started", step="entry")
+    stop_requested.wait()
+    kernel.find(ServiceName.DRAIN, Drain).run()
+    kernel.stop()
+    logger.info("entry stopped", step="entry")
+
+
+def make_entry(settings: Settings) -> Kernel:
+    """Return a kernel with all services of an entry, not yet started.
+
+    Raises
+    ------
+    SettingsError
+        If the settings describe no entry.
+    """
+    if settings.entry is None:
+        raise SettingsError("entry: the table is missing", step="entry")
+    kernel = make_kernel()
+    me = _make_member(settings.entry, settings)
+    _register_foundations(kernel, settings, me.id)
+    _register_control(kernel, settings, me)
+    _register_call_path(kernel, settings)
+    _register_frontends(kernel, settings, settings.entry)
+    return kernel
+
+
+def _make_member(entry: EntrySettings, settings: Settings) -> Member:
+    return Member(
+        f"{entry.name}.{uuid.uuid4().hex[:8]}",
+        entry.zone,
+        entry.caller_address,
+        entry.relay_address,
+        entry.peer_address,
+        lease_s=settings.lease.lease_s,
+    )
+
+
+def _register_foundations(kernel: Kernel, settings: Settings, own_id: str) -> None:
+    clock = make_clock()
+    platform = make_platform_client(settings.platform, clock)
+    tasks, timer = ServiceName.TASKS, ServiceName.TIMER
+    kernel.register(ServiceName.CLOCK, clock)
+    kernel.register(ServiceName.METRICS, make_metrics())
+    kernel.register(tasks, make_tasks(settings.limits))
+    kernel.register(timer, make_timer(kernel), (tasks,))
+    kernel.register(ServiceName.TABLE, platform)
+    kernel.register(ServiceName.OBJECTS, platform)
+    kernel.register(ServiceName.VMS, platform)
+    kernel.register(ServiceName.AUDIT, make_audit(kernel), (tasks,))
+    kernel.register(ServiceName.PEERS, make_peers(own_id))
+    backends = make_backends(kernel, settings.limits)
+    kernel.register(ServiceName.BACKENDS, backends, (timer,))
+    relays = make_relays(kernel, settings.limits, own_id)
+    kernel.register(ServiceName.RELAYS, relays, (timer,))
+
+
+def _register_control(kernel: Kernel, settings: Settings, me: Member) -> None:
+    poll_s = settings.platform.poll_s
+    membership = make_membership(kernel, me, settings.lease, poll_s)
+    kernel.register(
+        ServiceName.MEMBERSHIP,
+        membership,
+        (ServiceName.TIMER, ServiceName.TABLE, ServiceName.PEERS),
+    )
+    manifest = make_manifest_keeper(kernel, poll_s)
+    kernel.register(ServiceName.MANIFEST, manifest, (ServiceName.MEMBERSHIP,))
+    homes = make_homes(kernel, poll_s)
+    kernel.register(ServiceName.HOMES, homes, (ServiceName.MANIFEST,))
+
+
+def _register_call_path(kernel: Kernel, settings: Settings) -> None:
+    evidence = make_evidence(kernel)
+    needs = (ServiceName.HOMES, ServiceName.BACKENDS)
+    kernel.register(ServiceName.EVIDENCE, evidence, needs)
+    admission = make_admission(kernel)
+    kernel.register(ServiceName.ADMISSION, admission, (ServiceName.EVIDENCE,))
+    routing = make_routing(kernel)
+    kernel.register(ServiceName.ROUTING, routing, (ServiceName.MEMBERSHIP,))
+    kernel.register(ServiceName.CLAIMS, make_claims(kernel), (ServiceName.MANIFEST,))
+    kernel.register(
+        ServiceName.CALLS,
+        make_calls(kernel),
+        (
+            ServiceName.ADMISSION,
+            ServiceName.ROUTING,
+            ServiceName.RELAYS,
+            ServiceName.CLAIMS,
+        ),
+    )
+    directory = make_directory(kernel, settings.directory)
+    kernel.register(ServiceName.DIRECTORY, directory, (ServiceName.HOMES,))
+    drain = make_drain(kernel, settings.directory)
+    kernel.register(ServiceName.DRAIN, drain, (ServiceName.CALLS,))
+
+
+def _register_frontends(
+    kernel: Kernel, settings: Settings, entry: EntrySettings
+) -> None:
+    needs = (ServiceName.CALLS, ServiceName.DIRECTORY, ServiceName.DRAIN)
+    callers = make_caller_frontend(kernel, settings, entry.caller_address)
+    kernel.register(ServiceName.CALLER_FRONTEND, callers, needs)
+    relays = make_relay_frontend(kernel, settings, entry.relay_address)
+    kernel.register(ServiceName.RELAY_FRONTEND, relays, needs)
+    peers = make_peer_frontend(kernel, settings, entry.peer_address)
+    kernel.register(ServiceName.PEER_FRONTEND, peers, needs)
+    operators = make_operator_frontend(kernel, settings, entry.operator_address)
+    kernel.register(ServiceName.OPERATOR_FRONTEND, operators, needs)
--- /dev/null
+++ b/dotterelpier/frontends/__init__.py
@@ -0,0 +1,1 @@
+"""Front ends for callers, other entries and operators."""
--- /dev/null
+++ b/dotterelpier/frontends/callers.py
@@ -0,0 +1,267 @@
+"""HTTP front end for callers, and for calls that other entries relay."""
+
+import uuid
+from collections.abc import Iterable
+from urllib.parse import parse_qs, unquote
+
+from attrs import define
+
+from dotterelpier.errors import (
+    CallError,
+    DotterelpierError,
+    InvalidCallError,
+    UnknownServiceError,
+)
+from dotterelpier.frontends.http_server import (
+    Environ,
+    HttpServer,
+    StartResponse,
+    make_http_server,
+    status_line,
+)
+from dotterelpier.kernel import Kernel
+from dotterelpier.model.call import Answer, Call, Headers, Outcome
+from dotterelpier.protocols import (
+    Admission,
+    Calls,
+    Clock,
+    Directory,
+    ManifestKeeper,
+    Metrics,
+    ServiceName,
+    Tasks,
+)
+from dotterelpier.settings import Settings
+from dotterelpier.wire.backend import (
+    ATTEMPT_HEADER,
+    KEY_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    RELAY_HEADER,
+    RESERVATION_HEADER,
+    TIMEOUT_HEADER,
+    forwardable,
+    service_load_text,
+)
+from dotterelpier.wire.problem import (
+    CONTENT_TYPE,
+    problem_body,
+    problem_outcome,
+    problem_status,
+)
+from dotterelpier.wire.structure import encode_json
+
+ENTRIES_PATH = "/v1/entries"
+MAX_KEY_LENGTH = 255
+MAX_PATH_LENGTH = 8192
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+
+
+@define
+class CallerApplication:
+    """WSGI application that decodes requests and encodes answers."""
+
+    _clock: Clock
+    _manifest: ManifestKeeper
+    _calls: Calls
+    _directory: Directory
+    _admission: Admission
+    _metrics: Metrics
+    _relayed: bool
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        service = ""
+        call_id = self._call_id(environ)
+        started_at = self._clock.monotonic()
+        try:
+            path, _, query = self._target(environ).partition("?")
+            if path == ENTRIES_PATH and not self._relayed:
+                return self._answer_directory(environ, query, start_response)
+            call = self._decode(environ, call_id)
+            service = call.service
+            answer = self._calls.serve(call)
+        except DotterelpierError as error:
+            answer = _problem(error)
+        self._count(service, answer, started_at)
+        return self._encode(environ, call_id, service, answer, start_response)
+
+    def _call_id(self, environ: Environ) -> str:
+        relayed_id = environ.get(_variable(ATTEMPT_HEADER)) if self._relayed else None
+        return relayed_id or uuid.uuid4().hex
+
+    def _target(self, environ: Environ) -> str:
+        target = str(environ["REQUEST_URI"])
+        path = target.partition("?")[0]
+        segments = unquote(path).split("/")
+        if not path.startswith("/") or len(target) > MAX_PATH_LENGTH:
+            raise _invalid("path: must start with '/' and be short")
+        if ".." in segments or "." in segments or "\\" in unquote(path):
+            raise _invalid("path: dot segments are not allowed")
+        return target
+
+    def _decode(self, environ: Environ, call_id: str) -> Call:
+        method = environ["REQUEST_METHOD"]
+        if method not in METHODS:
+            raise _invalid(f"method: {method!r} is not supported")
+        service, slash, rest = self._target(environ)[1:].partition("/")
+        path = "/" + rest
+        if not slash:
+            service, mark, query = service.partition("?")
+            path = "/" + mark + query
+        headers = _request_headers(environ)
+        return Call(
+            call_id,
+            service,
+            method,
+            path,
+            forwardable(headers),
+            environ["wsgi.input"].read(),
+            self._clock.monotonic() + self._timeout_s(environ, service),
+            self._idempotency_key(environ),
+            environ.get(_variable(RELAY_HEADER), "") if self._relayed else "",
+            environ.get(_variable(RESERVATION_HEADER), "") if self._relayed else "",
+        )
+
+    def _timeout_s(self, environ: Environ, service_name: str) -> float:
+        revision = self._manifest.current()
+        service = revision and revision.manifest.service_by_name.get(service_name)
+        if not service:
+            raise UnknownServiceError(
+                f"no service {service_name!r} is declared", step="callers.decode"
+            )
+        text = environ.get(_variable(TIMEOUT_HEADER))
+        if text is None:
+            return service.deadline_s
+        try:
+            timeout_s = float(text)
+        except ValueError:
+            raise _invalid(f"{TIMEOUT_HEADER}: {text!r} is not a number") from None
+        if not 0 < timeout_s <= service.max_deadline_s:
+            raise _invalid(
+                f"{TIMEOUT_HEADER}: {text} is not within 0 and {service.max_deadline_s}"
+            )
+        return timeout_s
+
+    def _idempotency_key(self, environ: Environ) -> str:
+        key = str(environ.get(_variable(KEY_HEADER), ""))
+        if len(key) > MAX_KEY_LENGTH or not key.isprintable():
+            raise _invalid(f"{KEY_HEADER}: must be up to {MAX_KEY_LENGTH} characters")
+        return key
+
+    def _answer_directory(
+        self, environ: Environ, query: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if environ["REQUEST_METHOD"] != "GET":
+            raise _invalid(f"method: only GET is allowed on {ENTRIES_PATH}")
+        names = parse_qs(query).get("service", [])
+        if len(names) != 1:
+            raise _invalid("service: must be given once in the query")
+        answer = self._directory.entries(names[0])
+        body = encode_json(answer)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Cache-Control", f"max-age={answer.max_age_s}"),
+            (OUTCOME_HEADER, Outcome.ANSWERED.value),
+        ]
+        start_response(status_line(200), headers)
+        return [body]
+
+    def _encode(
+        self,
+        environ: Environ,
+        call_id: str,
+        service: str,
+        answer: Answer,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        headers = list(answer.headers)
+        if answer.stream is None:
+            headers.append(("Content-Length", str(len(answer.body))))
+        headers.append((OUTCOME_HEADER, answer.outcome.value))
+        if self._relayed:
+            headers.append((ATTEMPT_HEADER, call_id))
+            load = self._admission.load_by_service().get(service)
+            if load is not None:
+                headers.append((LOAD_HEADER, service_load_text(load)))
+        start_response(status_line(answer.status), headers)
+        return [answer.body] if answer.stream is None else answer.stream
+
+    def _count(self, service: str, answer: Answer, started_at: float) -> None:
+        if not service:
+            return
+        self._metrics.count("calls", service=service, outcome=answer.outcome.value)
+        duration_s = self._clock.monotonic() - started_at
+        self._metrics.observe("call_seconds", duration_s, service=service)
+
+
+def _variable(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def _request_headers(environ: Environ) -> Headers:
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+def _invalid(message: str) -> InvalidCallError:
+    return InvalidCallError(message, step="callers.decode")
+
+
+def _problem(error: DotterelpierError) -> Answer:
+    outcome = problem_outcome(error)
+    if not isinstance(error, CallError):
+        outcome = Outcome.UNKNOWN
+    return Answer(
+        problem_status(error),
+        (("Content-Type", CONTENT_TYPE),),
+        problem_body(error),
+        outcome=outcome,
+    )
+
+
+def _make_application(kernel: Kernel, relayed: bool) -> CallerApplication:
+    return CallerApplication(
+        kernel.find(ServiceName.CLOCK, Clock),
+        kernel.find(ServiceName.MANIFEST, ManifestKeeper),
+        kernel.find(ServiceName.CALLS, Calls),
+        kernel.find(ServiceName.DIRECTORY, Directory),
+        kernel.find(ServiceName.ADMISSION, Admission),
+        kernel.find(ServiceName.METRICS, Metrics),
+        relayed,
+    )
+
+
+def make_caller_frontend(
+    kernel: Kernel, settings: Settings, address: str
+) -> HttpServer:
+    """Return the front end for callers."""
+    return make_http_server(
+        _make_application(kernel, relayed=False),
+        address,
+        settings.limits.caller_threads,
+        settings.limits.max_body_bytes,
+        settings.limits.max_header_bytes,
+        kernel.find(ServiceName.TASKS, Tasks),
+    )
+
+
+def make_relay_frontend(kernel: Kernel, settings: Settings, address: str) -> HttpServer:
+    """Return the front end for calls that other entries relay."""
+    return make_http_server(
+        _make_application(kernel, relayed=True),
+        address,
+        settings.limits.relay_threads,
+        settings.limits.max_body_bytes,
+        settings.limits.max_header_bytes,
+        kernel.find(ServiceName.TASKS, Tasks),
+    )
--- /dev/null
+++ b/dotterelpier/frontends/http_server.py
@@ -0,0 +1,90 @@
+"""A waitress server that runs as a task."""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from attrs import define, field
+from waitress import wasyncore
+from waitress.server import create_server
+
+from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.protocols import TaskKind, Tasks
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+# Buffers stay in memory: the VMs have no disks.
+IN_MEMORY_BYTES = 1 << 30
+CONNECTION_LIMIT = 4096
+CHANNEL_TIMEOUT_S = 60
+BACKLOG = 2048
+
+
+@define
+class HttpServer:
+    """Listens on one address and serves a WSGI application."""
+
+    _application: Application
+    _address: str
+    _threads: int
+    _max_body_bytes: int
+    _max_header_bytes: int
+    _tasks: Tasks
+    _server: Any = None
+    _socket_map: dict[int, Any] = field(factory=dict)
+
+    def start(self) -> None:
+        """Listen, and start the task that serves."""
+        parsed = parse_address(self._address)
+        self._server = create_server(
+            self._application,
+            map=self._socket_map,
+            host=parsed.host,
+            port=parsed.port,
+            threads=self._threads,
+            ident=None,
+            backlog=BACKLOG,
+            connection_limit=CONNECTION_LIMIT,
+            channel_timeout=CHANNEL_TIMEOUT_S,
+            max_request_body_size=self._max_body_bytes + 1,
+            max_request_header_size=self._max_header_bytes,
+            inbuf_overflow=IN_MEMORY_BYTES,
+            outbuf_overflow=IN_MEMORY_BYTES,
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=True,
+            expose_tracebacks=False,
+        )
+        self._tasks.submit(TaskKind.FRONTEND, self._server.run)
+
+    def stop(self) -> None:
+        """Close all connections and end the task."""
+        if self._server is None:
+            return
+        self._server.trigger.pull_trigger(
+            lambda: wasyncore.close_all(self._socket_map, ignore_all=True)
+        )
+        self._server.task_dispatcher.shutdown(timeout=1)
+
+
+def status_line(status: int) -> str:
+    """Return a status code with its phrase."""
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def make_http_server(
+    application: Application,
+    address: str,
+    threads: int,
+    max_body_bytes: int,
+    max_header_bytes: int,
+    tasks: Tasks,
+) -> HttpServer:
+    """Return a server that is not yet listening."""
+    return HttpServer(
+        application, address, threads, max_body_bytes, max_header_bytes, tasks
+    )
--- /dev/null
+++ b/dotterelpier/frontends/peers.py
@@ -0,0 +1,114 @@
+"""gRPC front end for other entries."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import grpc
+from attrs import define
+
+from dotterelpier.kernel import Kernel
+from dotterelpier.protocols import (
+    Admission,
+    Homes,
+    ManifestKeeper,
+    Membership,
+    ServiceName,
+    Timer,
+)
+from dotterelpier.settings import Settings
+from dotterelpier.wire import peers as wire
+from dotterelpier.wire import peers_pb2, peers_pb2_grpc
+
+HANDOVER_REPORT_S = 0.1
+STOP_GRACE_S = 0.5
+SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
+
+
+@define
+class PeerServicer(peers_pb2_grpc.PeersServicer):  # type: ignore[misc]
+    """Answers control messages of other entries."""
+
+    _timer: Timer
+    _membership: Membership
+    _manifest: ManifestKeeper
+    _admission: Admission
+    _homes: Homes
+
+    def Beat(self, request: peers_pb2.Heartbeat, context: Any) -> peers_pb2.Heartbeat:  # noqa: N802
+        """Take in a heartbeat and return the own one."""
+        self._membership.heard(wire.decode_heartbeat(request))
+        return wire.encode_heartbeat(self._membership.heartbeat())
+
+    def FetchManifest(  # noqa: N802
+        self, request: peers_pb2.ManifestRequest, context: Any
+    ) -> peers_pb2.ManifestReply:
+        """Return the manifest in force if its number is above the one asked for."""
+        revision = self._manifest.current()
+        if revision is not None and revision.number <= request.above:
+            revision = None
+        return wire.encode_manifest(revision)
+
+    def OfferSlot(  # noqa: N802
+        self, request: peers_pb2.SlotOffer, context: Any
+    ) -> peers_pb2.SlotOfferReply:
+        """Give an offered slot to a waiting call."""
+        taken = self._admission.take_offer(wire.decode_offer(request))
+        return peers_pb2.SlotOfferReply(taken=taken)
+
+    def HandOver(  # noqa: N802
+        self, request: peers_pb2.HandoverRequest, context: Any
+    ) -> Iterator[peers_pb2.HandoverState]:
+        """Hand a backend server over and report until nothing is in flight."""
+        state = self._homes.hand_over(request.backend_id, request.assignment)
+        yield wire.encode_handover(state)
+        subscription = self._timer.every(HANDOVER_REPORT_S)
+        try:
+            while state.in_flight and context.is_active() and subscription.wait():
+                state = self._admission.bearing(request.backend_id)
+                yield wire.encode_handover(state)
+        finally:
+            subscription.cancel()
+
+
+@define
+class PeerFrontend:
+    """gRPC server for control messages."""
+
+    _servicer: PeerServicer
+    _address: str
+    _threads: int
+    _server: grpc.Server | None = None
+
+    def start(self) -> None:
+        """Listen and serve.
+
+        Raises
+        ------
+        RuntimeError
+            If the address is taken.
+        """
+        executor = ThreadPoolExecutor(self._threads, thread_name_prefix="peer_frontend")
+        self._server = grpc.server(executor, options=SERVER_OPTIONS)
+        peers_pb2_grpc.add_PeersServicer_to_server(self._servicer, self._server)
+        self._server.add_insecure_port(self._address)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        if self._server is not None:
+            self._server.stop(STOP_GRACE_S).wait()
+
+
+def make_peer_frontend(
+    kernel: Kernel, settings: Settings, address: str
+) -> PeerFrontend:
+    """Return the front end for other entries."""
+    servicer = PeerServicer(
+        kernel.find(ServiceName.TIMER, Timer),
+        kernel.find(ServiceName.MEMBERSHIP, Membership),
+        kernel.find(ServiceName.MANIFEST, ManifestKeeper),
+        kernel.find(ServiceName.ADMISSION, Admission),
+        kernel.find(ServiceName.HOMES, Homes),
+    )
+    return PeerFrontend(servicer, address, settings.limits.peer_threads)
--- /dev/null
+++ b/dotterelpier/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services of an entry, found by name through the kernel."""
--- /dev/null
+++ b/dotterelpier/services/directory.py
@@ -0,0 +1,86 @@
+"""Tells callers which entries to use."""
+
+from attrs import define
+
+from dotterelpier.errors import NoManifestError, UnknownServiceError
+from dotterelpier.kernel import Kernel
+from dotterelpier.model.directory import DirectoryAnswer, DirectoryEntry
+from dotterelpier.model.manifest import Manifest
+from dotterelpier.model.membership import Member
+from dotterelpier.protocols import (
+    Directory,
+    Homes,
+    ManifestKeeper,
+    Membership,
+    ServiceName,
+)
+from dotterelpier.settings import DirectorySettings
+
+
+@define
+class HomesDirectory:
+    """Names the homes of a service's backend servers, near zone first."""
+
+    _settings: DirectorySettings
+    _manifest: ManifestKeeper
+    _membership: Membership
+    _homes: Homes
+
+    def entries(self, service: str) -> DirectoryAnswer:
+        """Return the entries for a service."""
+        revision = self._manifest.current()
+        if revision is None:
+            raise NoManifestError("no manifest is known yet", step="directory")
+        if service not in revision.manifest.service_by_name:
+            raise UnknownServiceError(
+                f"no service {service!r} is declared", step="directory"
+            )
+        weight_by_id = self._weight_by_id(revision.manifest, service)
+        members = [
+            member
+            for member in self._membership.live_by_id().values()
+            if not member.leaving
+        ]
+        members.sort(key=lambda item: self._rank(item, weight_by_id))
+        entries = tuple(
+            DirectoryEntry(
+                member.caller_address, member.zone, weight_by_id.get(member.id, 0) or 1
+            )
+            for member in self._cover_two_zones(members)
+        )
+        return DirectoryAnswer(service, entries, self._settings.max_age_s)
+
+    def _weight_by_id(self, manifest: Manifest, service: str) -> dict[str, int]:
+        weight_by_id: dict[str, int] = {}
+        for backend_id, home in self._homes.assignment().home_by_backend_id.items():
+            server = manifest.backend_by_id.get(backend_id)
+            if server is None or server.service != service:
+                continue
+            if manifest.zone_is_out(server.zone):
+                continue
+            weight = weight_by_id.get(home.entry_id, 0)
+            weight_by_id[home.entry_id] = weight + server.slots
+        return weight_by_id
+
+    def _rank(self, member: Member, weight_by_id: dict[str, int]) -> tuple[object, ...]:
+        own_zone = self._membership.me().zone
+        weight = weight_by_id.get(member.id, 0)
+        return (weight == 0, member.zone != own_zone, -weight, member.id)
+
+    def _cover_two_zones(self, members: list[Member]) -> list[Member]:
+        chosen = members[: self._settings.max_entries]
+        zones = {member.zone for member in chosen}
+        others = [member for member in members if member.zone not in zones]
+        if len(zones) == 1 and others:
+            chosen[-1:] = [others[0]] if len(chosen) > 1 else [chosen[0], others[0]]
+        return chosen
+
+
+def make_directory(kernel: Kernel, settings: DirectorySettings) -> Directory:
+    """Return the directory."""
+    return HomesDirectory(
+        settings,
+        kernel.find(ServiceName.MANIFEST, ManifestKeeper),
+        kernel.find(ServiceName.MEMBERSHIP, Membership),
+        kernel.find(ServiceName.HOMES, Homes),
+    )
--- /dev/null
+++ b/dotterelpier/services/tasks.py
@@ -0,0 +1,92 @@
+"""Executors for long-lived tasks."""
+
+import threading
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+from attrs import define, field
+from loguru import logger
+
+from dotterelpier.errors import TaskPoolFullError
+from dotterelpier.protocols import TaskKind, Tasks
+from dotterelpier.settings import LimitSettings
+
+CONTROL_THREADS = 16
+
+
+@define
+class ExecutorTasks:
+    """One bounded executor for each kind of task.
+
+    A task of one kind never waits for the start of another of the same kind, and
+    a full executor refuses instead of queueing, so that tasks cannot deadlock.
+    """
+
+    _size_by_kind: Mapping[TaskKind, int]
+    _executor_by_kind: dict[TaskKind, ThreadPoolExecutor] = field(factory=dict)
+    _running_by_kind: dict[TaskKind, int] = field(factory=dict)
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def submit(
+        self, kind: TaskKind, function: Callable[..., Any], *args: Any
+    ) -> Future[Any]:
+        """Run a function as a task.
+
+        Raises
+        ------
+        TaskPoolFullError
+            If every thread of this kind is taken.
+        """
+        with self._lock:
+            running = self._running_by_kind.get(kind, 0)
+            if running >= self._size_by_kind[kind]:
+                raise TaskPoolFullError(
+                    f"all {running} threads for {kind.value} are taken", step="tasks"
+                )
+            self._running_by_kind[kind] = running + 1
+            executor = self._executor(kind)
+        return executor.submit(self._run, kind, function, *args)
+
+    def stop(self) -> None:
+        """Start no more tasks; running ones end by their own stop signals."""
+        with self._lock:
+            executors = tuple(self._executor_by_kind.values())
+        for executor in executors:
+            executor.shutdown(wait=False, cancel_futures=True)
+
+    def start(self) -> None:
+        """Do nothing; executors are made on first use."""
+
+    def _executor(self, kind: TaskKind) -> ThreadPoolExecutor:
+        if kind not in self._executor_by_kind:
+            self._executor_by_kind[kind] = ThreadPoolExecutor(
+                self._size_by_kind[kind], thread_name_prefix=kind.value
+            )
+        return self._executor_by_kind[kind]
+
+    def _run(self, kind: TaskKind, function: Callable[..., Any], *args: Any) -> Any:
+        try:
+            return function(*args)
+        except Exception:
+            logger.exception("task failed", kind=kind.value)
+            raise
+        finally:
+            with self._lock:
+                self._running_by_kind[kind] -= 1
+
+
+def make_tasks(limits: LimitSettings) -> Tasks:
+    """Return executors sized from the settings."""
+    return ExecutorTasks(
+        {
+            TaskKind.TIMER: 1,
+            TaskKind.CONTROL: CONTROL_THREADS,
+            TaskKind.PEER: limits.peers,
+            TaskKind.HANDOVER: limits.measured,
+            TaskKind.MEASURE: limits.measured,
+            TaskKind.BACKEND_CONNECTION: limits.backend_connections,
+            TaskKind.RELAY_CONNECTION: limits.relay_connections,
+            TaskKind.FRONTEND: CONTROL_THREADS,
+        }
+    )
--- /dev/null
+++ b/dotterelpier/settings.py
@@ -0,0 +1,198 @@
+"""Settings of one process, read from a TOML file."""
+
+import tomllib
+from pathlib import Path
+
+from attrs import Factory, field, frozen
+from attrs.validators import ge, gt, in_, le
+
+from dotterelpier.errors import SettingsError
+from dotterelpier.wire.manifest_toml import is_address
+from dotterelpier.wire.structure import structure
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+@frozen
+class EntrySettings:
+    """Identity and addresses of an entry.
+
+    Attributes
+    ----------
+    name : str
+        Name of the entry, unique among the entries of a tenant.
+    zone : str
+        Availability zone of its VM.
+    caller_address, relay_address, peer_address, operator_address : str
+        ``IP:port`` to listen on for callers, relayed calls of other entries,
+        control messages of other entries, and operators.
+    """
+
+    name: str
+    zone: str
+    caller_address: str
+    relay_address: str
+    peer_address: str
+    operator_address: str
+
+
+@frozen
+class PlatformSettings:
+    """The platform's service.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:port`` of the table, the object store and the list of VMs.
+    timeout_s : float
+        Longest wait for one answer, in seconds.
+    poll_s : float
+        Interval of reading the shared rows, in seconds.
+    vm_list_lag_s : float
+        How long the list of VMs may lag, in seconds.
+    """
+
+    address: str
+    timeout_s: float = field(default=1.0, validator=[gt(0), le(30)])
+    poll_s: float = field(default=1.0, validator=[gt(0), le(5)])
+    vm_list_lag_s: float = field(default=30.0, validator=[ge(0), le(3600)])
+
+
+@frozen
+class LeaseSettings:
+    """Lease of the entry.
+
+    Attributes
+    ----------
+    lease_s : float
+        Duration from each renewal, in seconds.
+    margin_s : float
+        Longer wait before a lease of another counts as lapsed, in seconds.
+    renew_s : float
+        Interval of renewals, in seconds.
+    heartbeat_s : float
+        Interval of heartbeats to each peer, in seconds.
+    contact_s : float
+        Age up to which a contact counts as fresh, in seconds.
+    """
+
+    lease_s: float = field(default=6.0, validator=[gt(0), le(60)])
+    margin_s: float = field(default=1.0, validator=[gt(0), le(10)])
+    renew_s: float = field(default=1.0, validator=[gt(0), le(10)])
+    heartbeat_s: float = field(default=1.0, validator=[gt(0), le(10)])
+    contact_s: float = field(default=4.0, validator=[gt(0), le(30)])
+
+
+@frozen
+class LimitSettings:
+    """Sizes of the executors and buffers.
+
+    Attributes
+    ----------
+    caller_threads, relay_threads, peer_threads : int
+        Threads that serve callers, relayed calls and control messages.
+    backend_connections, relay_connections : int
+        Connections, each with a task, to backend servers and other entries.
+    peers : int
+        Peers, each with a task.
+    measured : int
+        Backend servers measured, each with a task.
+    max_body_bytes, max_header_bytes : int
+        Largest request body and headers of a caller, in bytes.
+    idle_connection_s : float
+        Age at which an idle connection is closed, in seconds.
+    """
+
+    caller_threads: int = field(default=96, validator=[ge(1), le(4096)])
+    relay_threads: int = field(default=64, validator=[ge(1), le(4096)])
+    peer_threads: int = field(default=16, validator=[ge(1), le(1024)])
+    backend_connections: int = field(default=512, validator=[ge(1), le(8192)])
+    relay_connections: int = field(default=256, validator=[ge(1), le(8192)])
+    peers: int = field(default=256, validator=[ge(1), le(4096)])
+    measured: int = field(default=1024, validator=[ge(1), le(8192)])
+    max_body_bytes: int = field(default=4 << 20, validator=[ge(0), le(64 << 20)])
+    max_header_bytes: int = field(default=32 << 10, validator=[ge(1024), le(1 << 20)])
+    idle_connection_s: float = field(default=30.0, validator=[gt(0), le(3600)])
+
+
+@frozen
+class DirectorySettings:
+    """Answers to callers that ask which entries to use.
+
+    Attributes
+    ----------
+    max_age_s : int
+        How long callers may keep an answer, in seconds.
+    max_entries : int
+        Entries named in one answer.
+    """
+
+    max_age_s: int = field(default=5, validator=[ge(1), le(3600)])
+    max_entries: int = field(default=8, validator=[ge(2), le(64)])
+
+
+@frozen
+class LogSettings:
+    """Logs.
+
+    Attributes
+    ----------
+    level : str
+        Lowest level written.
+    """
+
+    level: str = field(default="INFO", validator=in_(LOG_LEVELS))
+
+
+@frozen
+class Settings:
+    """All settings of a process.
+
+    Attributes
+    ----------
+    platform : PlatformSettings
+        Used by entries and by operators' commands.
+    entry : EntrySettings or None
+        Only for entries.
+    """
+
+    platform: PlatformSettings
+    entry: EntrySettings | None = None
+    lease: LeaseSettings = Factory(LeaseSettings)
+    limits: LimitSettings = Factory(LimitSettings)
+    directory: DirectorySettings = Factory(DirectorySettings)
+    log: LogSettings = Factory(LogSettings)
+
+
+def read_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        Naming the key at fault.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+        settings = structure(data, Settings)
+    except OSError as error:
+        raise _error(error.strerror or str(error), path) from None
+    except ValueError as error:
+        raise _error("; ".join(str(fault) for fault in error.args), path) from None
+    _check_addresses(settings, path)
+    return settings
+
+
+def _check_addresses(settings: Settings, path: Path) -> None:
+    address_by_key = {"platform.address": settings.platform.address}
+    if settings.entry is not None:
+        for name in ("caller", "relay", "peer", "operator"):
+            key = f"{name}_address"
+            address_by_key[f"entry.{key}"] = getattr(settings.entry, key)
+    for key, address in address_by_key.items():
+        if not is_address(address):
+            raise _error(f"{key}: {address!r} is not IP:port", path)
+
+
+def _error(message: str, path: Path) -> SettingsError:
+    return SettingsError(message, step="settings", peer=str(path))
--- /dev/null
+++ b/dotterelpier/wire/backend.py
@@ -0,0 +1,104 @@
+"""Headers exchanged with backend servers and with relaying entries."""
+
+from collections.abc import Iterable, Mapping
+
+from dotterelpier.model.call import Attempt, Headers
+from dotterelpier.model.evidence import LoadReport, Readiness
+from dotterelpier.model.membership import ServiceLoad
+
+ATTEMPT_HEADER = "Dotterelpier-Attempt"
+DEADLINE_HEADER = "Dotterelpier-Deadline"
+LOAD_HEADER = "Dotterelpier-Load"
+OUTCOME_HEADER = "Dotterelpier-Outcome"
+RELAY_HEADER = "Dotterelpier-Relayed-By"
+RESERVATION_HEADER = "Dotterelpier-Reservation"
+TIMEOUT_HEADER = "Dotterelpier-Timeout"
+KEY_HEADER = "Idempotency-Key"
+NOT_RUN = "not-run"
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and those
+# that this system sets itself.
+NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "host",
+        "date",
+        "server",
+    }
+)
+OWN_PREFIX = "dotterelpier-"
+
+
+def forwardable(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the end-to-end headers, without those that this system sets."""
+    headers = tuple(headers)
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in NOT_FORWARDED
+        and name.lower() not in named
+        and not name.lower().startswith(OWN_PREFIX)
+    )
+
+
+def attempt_headers(attempt: Attempt, deadline_unix: float) -> dict[str, str]:
+    """Return the headers that accompany an attempt."""
+    return {
+        ATTEMPT_HEADER: attempt.id,
+        DEADLINE_HEADER: f"{deadline_unix:.3f}",
+    }
+
+
+def read_load_report(headers: Mapping[str, str]) -> LoadReport | None:
+    """Return the load report of an answer, None if it has none that is valid."""
+    text = headers.get(LOAD_HEADER)
+    if text is None:
+        return None
+    value_by_key = _parse_pairs(text)
+    try:
+        return LoadReport(
+            Readiness(value_by_key.get("state", "ready")),
+            value_by_key.get("boot", ""),
+            int(value_by_key.get("in_flight", "0")),
+        )
+    except ValueError:
+        return None
+
+
+def service_load_text(load: ServiceLoad) -> str:
+    """Return the load of a service as the value of a header."""
+    return f"free={load.free_slots};slots={load.slots};waiting={load.waiting}"
+
+
+def read_service_load(text: str) -> ServiceLoad | None:
+    """Return the load of a service from a header, None if it is not valid."""
+    value_by_key = _parse_pairs(text)
+    try:
+        return ServiceLoad(
+            int(value_by_key["free"]),
+            int(value_by_key["slots"]),
+            int(value_by_key["waiting"]),
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+def _parse_pairs(text: str) -> dict[str, str]:
+    pairs = (part.partition("=") for part in text.split(";"))
+    return {key.strip(): value.strip() for key, _, value in pairs}
--- /dev/null
+++ b/dotterelpier/wire/problem.py
@@ -0,0 +1,70 @@
+"""Errors as problem details (RFC 9457)."""
+
+import json
+from collections.abc import Mapping
+
+from dotterelpier.errors import (
+    AnswerLostError,
+    AnswerMismatchError,
+    AnswerTimeoutError,
+    CallError,
+    ClaimUnavailableError,
+    ConnectFailedError,
+    CutOffError,
+    DotterelpierError,
+    DuplicateCallError,
+    InvalidCallError,
+    KeyReusedError,
+    NoManifestError,
+    OverloadedError,
+    RefusedError,
+    StoppingError,
+    UnknownServiceError,
+)
+from dotterelpier.model.call import Outcome
+
+CONTENT_TYPE = "application/problem+json"
+INTERNAL_STATUS = 500
+
+STATUS_BY_ERROR: Mapping[type[DotterelpierError], int] = {
+    InvalidCallError: 400,
+    UnknownServiceError: 404,
+    DuplicateCallError: 409,
+    KeyReusedError: 422,
+    AnswerLostError: 502,
+    AnswerMismatchError: 502,
+    ConnectFailedError: 503,
+    RefusedError: 503,
+    OverloadedError: 503,
+    CutOffError: 503,
+    StoppingError: 503,
+    NoManifestError: 503,
+    ClaimUnavailableError: 503,
+    AnswerTimeoutError: 504,
+}
+
+
+def problem_status(error: DotterelpierError) -> int:
+    """Return the HTTP status for an error."""
+    return STATUS_BY_ERROR.get(type(error), INTERNAL_STATUS)
+
+
+def problem_outcome(error: DotterelpierError) -> Outcome:
+    """Return what a caller is told about a call that ended with this error."""
+    if isinstance(error, CallError) and not error.ran:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
+def problem_body(error: DotterelpierError) -> bytes:
+    """Return an error as problem details."""
+    details = {
+        "type": "about:blank",
+        "title": error.code.replace("_", " "),
+        "status": problem_status(error),
+        "detail": error.message,
+        "code": error.code,
+        "step": error.step,
+        "peer": error.peer,
+    }
+    return json.dumps(details).encode()
--- /dev/null
+++ b/dotterelpier/wire/rows.py
@@ -0,0 +1,74 @@
+"""Keys and contents of the rows in the platform's table."""
+
+import hashlib
+from typing import TypeVar
+
+from attrs import frozen
+
+from dotterelpier.errors import PlatformUnavailableError
+from dotterelpier.model.platform import Row
+from dotterelpier.wire.structure import decode_json, encode_json
+
+T = TypeVar("T")
+
+MEMBER_PREFIX = "member/"
+AUDIT_PREFIX = "audit/"
+CLAIM_PREFIX = "claim/"
+MANIFEST_KEY = "manifest"
+ASSIGNMENT_KEY = "assignment"
+
+
+@frozen
+class ManifestRow:
+    """Which manifest is accepted.
+
+    Attributes
+    ----------
+    number : int
+        Revision number.
+    digest : str
+        SHA-256 of the text, which is kept in the object store.
+    apply_id : str
+        Id of the ``manifest apply`` that wrote the row.
+    """
+
+    number: int
+    digest: str
+    apply_id: str
+
+
+def member_key(member_id: str) -> str:
+    """Return the key of a lease row."""
+    return MEMBER_PREFIX + member_id
+
+
+def manifest_object(digest: str) -> str:
+    """Return the name of a manifest's text in the object store."""
+    return f"manifest-{digest}"
+
+
+def claim_key(service: str, idempotency_key: str) -> str:
+    """Return the key of a claim; the caller's key is hashed to bound its size."""
+    hashed = hashlib.sha256(idempotency_key.encode()).hexdigest()
+    return f"{CLAIM_PREFIX}{service}/{hashed}"
+
+
+def decode_row(row: Row, kind: type[T]) -> T:
+    """Return the content of a row.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If the row is not what this version writes.
+    """
+    try:
+        return decode_json(row.value, kind)
+    except ValueError as error:
+        raise PlatformUnavailableError(
+            f"row {row.key!r} is malformed: {error}", step="platform.decode"
+        ) from None
+
+
+def encode_row(value: object) -> bytes:
+    """Return the content of a row."""
+    return encode_json(value)
