--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dotterelpier."""
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,100 @@
+"""Callers as the brief describes them: ask for entries, keep the answer, connect."""
+
+import http.client
+import random
+import time
+import uuid
+
+from attrs import define, field, frozen
+
+from dotterelpier.clients.http_connection import open_connection
+from tests.utils import request_json
+
+
+@frozen
+class CallerResult:
+    """What a caller saw of one call."""
+
+    service: str
+    outcome: str
+    status: int
+    latency_s: float
+    started_at: float
+    key: str = ""
+
+
+@define
+class _Kept:
+    """A kept answer of the directory."""
+
+    addresses: list[str]
+    weights: list[int]
+    expires_at: float
+
+
+@define
+class Caller:
+    """Calls services on connections that it keeps."""
+
+    bootstrap: list[str]
+    seed: int
+    results: list[CallerResult] = field(factory=list)
+    _kept_by_service: dict[str, _Kept] = field(factory=dict)
+    _connection_by_address: dict[str, http.client.HTTPConnection] = field(factory=dict)
+    _random: random.Random = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._random = random.Random(self.seed)
+
+    def call(self, service: str, turn: int) -> CallerResult:
+        """Make one call, every fourth one with a key and a body."""
+        started_at = time.monotonic()
+        key = uuid.UUID(int=self._random.getrandbits(128)).hex
+        method = "POST" if turn % 4 == 0 else "GET"
+        headers = {"Idempotency-Key": key} if method == "POST" else {}
+        body = b"item" if method == "POST" else None
+        try:
+            address = self._address(service)
+            connection = self._connection(address)
+            connection.request(method, f"/{service}/items/{turn}", body, headers)
+            response = connection.getresponse()
+            response.read()
+            outcome = response.headers.get("Dotterelpier-Outcome", "none")
+            status = response.status
+        except (OSError, http.client.HTTPException):
+            self._forget(service)
+            outcome, status = "none", 0
+        latency_s = time.monotonic() - started_at
+        result = CallerResult(service, outcome, status, latency_s, started_at, key)
+        self.results.append(result)
+        return result
+
+    def _address(self, service: str) -> str:
+        kept = self._kept_by_service.get(service)
+        if kept is None or kept.expires_at < time.monotonic():
+            kept = self._ask(service)
+            self._kept_by_service[service] = kept
+        return self._random.choices(kept.addresses, kept.weights)[0]
+
+    def _ask(self, service: str) -> _Kept:
+        asked = self._random.choice(self.bootstrap)
+        answer = request_json(asked, f"/v1/entries?service={service}")
+        entries = answer["entries"]
+        return _Kept(
+            [entry["address"] for entry in entries],
+            [entry["weight"] for entry in entries],
+            time.monotonic() + answer["max_age_s"],
+        )
+
+    def _connection(self, address: str) -> http.client.HTTPConnection:
+        connection = self._connection_by_address.get(address)
+        if connection is None:
+            connection = open_connection(address, 10.0)
+            self._connection_by_address[address] = connection
+        return connection
+
+    def _forget(self, service: str) -> None:
+        self._kept_by_service.pop(service, None)
+        for connection in self._connection_by_address.values():
+            connection.close()
+        self._connection_by_address.clear()
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,135 @@
+"""The demo: a whole system on loopback while a zone is taken out and back.
+
+Run with ``python -m tests.demo MANIFEST``.
+"""
+
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from attrs import define, field
+
+from dotterelpier.model.manifest import Manifest
+from dotterelpier.wire.manifest_toml import read_manifest
+from tests.callers import Caller, CallerResult
+from tests.utils import CONTROL_ADDRESS, System, request_json, running_system
+
+ENTRIES = 6
+CALLERS = 12
+CALL_PAUSE_S = 0.02
+PHASE_S = 6.0
+SETTLE_S = 5.0
+MIN_ANSWERED_SHARE = 0.99
+
+
+@define
+class Demo:
+    """Load on a system, and what came of it."""
+
+    system: System
+    callers: list[Caller] = field(factory=list)
+    stopping: threading.Event = field(factory=threading.Event)
+
+    def load(self, number: int) -> list[CallerResult]:
+        """Call services in turn until told to stop."""
+        manifest = self.system.manifest
+        names = [service.name for service in manifest.services]
+        addresses = [entry.caller_address for entry in self.system.entries.values()]
+        caller = Caller(addresses, seed=number)
+        turn = number
+        while not self.stopping.wait(CALL_PAUSE_S):
+            turn += 1
+            caller.call(names[turn % len(names)], turn)
+        return caller.results
+
+
+def main(manifest_file: str) -> int:
+    """Run the demo and return its exit status."""
+    path = Path(manifest_file)
+    manifest = read_manifest(path.read_text(encoding="utf-8"), manifest_file)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_system(Path(folder), path, manifest) as system,
+    ):
+        return _run(system)
+
+
+def _run(system: System) -> int:
+    print(f"starting {ENTRIES} entries and {len(system.manifest.backend_servers)}")
+    system.start_standins("--probe_s", "0.006")
+    system.start_entries(ENTRIES)
+    applied = system.apply()
+    print(applied.stdout.strip() or applied.stderr.strip())
+    system.wait_ready()
+    demo = Demo(system)
+    zone = system.manifest.zones[0].name
+    with ThreadPoolExecutor(CALLERS) as executor:
+        pending = [executor.submit(demo.load, number) for number in range(CALLERS)]
+        time.sleep(PHASE_S)
+        _apply_zone_state(system, zone, "out")
+        time.sleep(SETTLE_S)
+        late_after = time.monotonic()
+        time.sleep(PHASE_S)
+        late = _runs_in_zone(system.manifest, zone, late_after)
+        _apply_zone_state(system, zone, "in")
+        time.sleep(PHASE_S)
+        demo.stopping.set()
+        results = [result for future in pending for result in future.result()]
+    return _summarise(system, results, zone, late)
+
+
+def _apply_zone_state(system: System, zone: str, state: str) -> None:
+    text = system.manifest_file.read_text(encoding="utf-8")
+    head, mark, tail = text.partition(f'name = "{zone}"')
+    changed = system.folder / f"zone-{state}.toml"
+    changed.write_text(head + mark + tail.replace('"in"', f'"{state}"', 1))
+    applied = system.apply(changed)
+    print(f"zone {zone} {state}: {applied.stdout.strip() or applied.stderr.strip()}")
+
+
+def _runs_in_zone(manifest: Manifest, zone: str, after: float) -> int:
+    backend_ids = {
+        server.id for server in manifest.backend_servers if server.zone == zone
+    }
+    journal = request_json(CONTROL_ADDRESS, "/journal")
+    return sum(
+        run["backend_id"] in backend_ids and run["started_at"] > after
+        for run in journal
+    )
+
+
+def _summarise(
+    system: System, results: list[CallerResult], zone: str, late: int
+) -> int:
+    latencies = sorted(result.latency_s for result in results)
+    count_by_outcome = {
+        outcome: sum(result.outcome == outcome for result in results)
+        for outcome in ("answered", "not-run", "unknown", "none")
+    }
+    peaks = request_json(CONTROL_ADDRESS, "/peaks")
+    probes = sum(item["probes"] for item in peaks.values())
+    overrun = sum(
+        peaks[server.id]["peak_warm"] > server.slots
+        for server in system.manifest.backend_servers
+    )
+    print("calls: " + ", ".join(f"{n} {o}" for o, n in count_by_outcome.items()))
+    for share in (0.5, 0.99, 0.999):
+        print(f"p{share * 100:g}: {1000 * _quantile(latencies, share):.1f} ms")
+    print(f"probes: {probes} on {len(peaks)} backend servers")
+    print(f"new work reaching zone {zone} while out: {late}")
+    print(f"backend servers with more in flight than slots: {overrun}")
+    answered = count_by_outcome["answered"] / max(1, len(results))
+    holds = late == 0 and overrun == 0 and answered >= MIN_ANSWERED_SHARE
+    print("holds" if holds else "does not hold")
+    return 0 if holds else 1
+
+
+def _quantile(ordered: list[float], share: float) -> float:
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what surrounds an entry."""
