Callers reuse connections to backend servers; first tests, proof runner, fakes

Cause: http.client's read1() leaves a response of known length open, so the next request on the connection failed with ResponseNotReady. Ruled out: silent or closed connections (the socket was open, every second exchange failed). Conclusion: close the response once its whole body was read.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
 		--grpc_python_out=. dotterelpier/wire/peers.proto
+
+prove: setup
+	$(PYTHON) -m tests.prove $(P)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -167,6 +167,8 @@
         if expected is not None and size != expected:
             message = f"answer ended after {size} of {expected} bytes"
             raise self._error(AnswerLostError, message)
+        # read1() leaves a response of known length open, which blocks the next one.
+        response.close()
         return b"".join(pieces)
 
     def _limit_wait(
--- a/dotterelpier/wire/structure.py
+++ b/dotterelpier/wire/structure.py
@@ -2,8 +2,6 @@
 
 import json
 from enum import Enum
-from functools import partial
-from operator import is_
 from typing import Any, TypeVar
 
 from cattrs import Converter, transform_error
@@ -15,11 +13,13 @@
 def _make_converter() -> Converter:
     converter = Converter(forbid_extra_keys=True)
     for kind in (str, int, float, bool):
-        converter.register_structure_hook_func(partial(is_, kind), _structure_scalar)
+        converter.register_structure_hook(kind, _structure_scalar)
     return converter
 
 
 def _structure_scalar(value: Any, kind: type[Any]) -> Any:
+    if issubclass(kind, Enum):
+        return kind(value)
     if kind is float and type(value) is int:
         return float(value)
     if type(value) is not kind:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,208 @@
+"""Fakes at the interfaces, driven step by step without threads or real time."""
+
+import itertools
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future
+from typing import Any
+
+from attrs import define, field
+
+from dotterelpier.errors import ConflictError, PlatformUnavailableError
+from dotterelpier.kernel import Kernel, make_kernel
+from dotterelpier.model.platform import ABSENT, Row, Vm, Write
+from dotterelpier.protocols import ServiceName, TaskKind
+
+
+@define
+class ManualClock:
+    """A clock that moves only when told."""
+
+    now: float = 1000.0
+    unix_offset: float = 1_700_000_000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def unix(self) -> float:
+        return self.now + self.unix_offset
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
+
+@define(eq=False)
+class StepSubscription:
+    """Returns True from ``wait`` once for each tick, then False."""
+
+    interval_s: float
+    ticks: int = 0
+    cancelled: bool = False
+
+    def wait(self) -> bool:
+        if self.ticks <= 0 or self.cancelled:
+            return False
+        self.ticks -= 1
+        return True
+
+    def wake(self) -> None:
+        """Do nothing: the next step runs every task anyway."""
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+@define(eq=False)
+class StepCallback:
+    """A callback that is due at a time."""
+
+    due_at: float
+    run: Callable[[], None]
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+@define
+class StepTimer:
+    """Hands out subscriptions that tick when told."""
+
+    clock: ManualClock
+    subscriptions: list[StepSubscription] = field(factory=list)
+    callbacks: list[StepCallback] = field(factory=list)
+
+    def every(self, interval_s: float) -> StepSubscription:
+        subscription = StepSubscription(interval_s)
+        self.subscriptions.append(subscription)
+        return subscription
+
+    def after(self, delay_s: float, callback: Callable[[], None]) -> StepCallback:
+        item = StepCallback(self.clock.now + delay_s, callback)
+        self.callbacks.append(item)
+        return item
+
+    def tick(self) -> None:
+        """Give each subscription one tick and run the callbacks that are due."""
+        for subscription in self.subscriptions:
+            subscription.ticks = 1
+        due = [item for item in self.callbacks if item.due_at <= self.clock.now]
+        for item in due:
+            self.callbacks.remove(item)
+            if not item.cancelled:
+                item.run()
+
+
+@define
+class StepTasks:
+    """Keeps tasks and runs each for one tick when told."""
+
+    tasks: list[tuple[TaskKind, Callable[..., Any], tuple[Any, ...]]] = field(
+        factory=list
+    )
+    paused: bool = False
+
+    def submit(
+        self, kind: TaskKind, function: Callable[..., Any], *args: Any
+    ) -> "Future[Any]":
+        self.tasks.append((kind, function, args))
+        return Future()
+
+    def step(self) -> None:
+        """Run each task until its subscription has no tick left."""
+        for _, function, args in tuple(self.tasks):
+            function(*args)
+
+
+@define
+class MemoryTable:
+    """The platform's table, shared by the fakes of several entries."""
+
+    row_by_key: dict[str, Row] = field(factory=dict)
+    _versions: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
+
+    def commit(self, writes: Sequence[Write]) -> tuple[str, ...]:
+        for write in writes:
+            row = self.row_by_key.get(write.key)
+            version = ABSENT if row is None else row.version
+            if write.expected is not None and write.expected != version:
+                raise ConflictError(f"row {write.key!r}", step="platform.commit")
+        return tuple(self._put(write) for write in writes)
+
+    def _put(self, write: Write) -> str:
+        version = str(next(self._versions))
+        if write.value is None:
+            self.row_by_key.pop(write.key, None)
+        else:
+            self.row_by_key[write.key] = Row(write.key, version, write.value)
+        return version
+
+
+@define
+class MemoryPlatform:
+    """One entry's connection to the platform: table, objects and list of VMs."""
+
+    clock: ManualClock
+    table: MemoryTable = field(factory=MemoryTable)
+    object_by_name: dict[str, bytes] = field(factory=dict)
+    vms: tuple[Vm, ...] = ()
+    down: bool = False
+    lose_replies: int = 0
+    reached_at: float = float("-inf")
+
+    def read(self, key: str) -> Row | None:
+        self._reach()
+        return self.table.row_by_key.get(key)
+
+    def read_if_changed(self, key: str, version: str) -> Row | None:
+        row = self.read(key)
+        return None if row is None or row.version == version else row
+
+    def scan(self, prefix: str) -> tuple[Row, ...]:
+        self._reach()
+        rows = self.table.row_by_key
+        return tuple(rows[key] for key in sorted(rows) if key.startswith(prefix))
+
+    def commit(self, writes: Sequence[Write]) -> tuple[str, ...]:
+        self._reach()
+        versions = self.table.commit(writes)
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            raise PlatformUnavailableError("reply lost", step="platform")
+        return versions
+
+    def last_reached_at(self) -> float:
+        return self.reached_at
+
+    def get(self, name: str) -> bytes | None:
+        self._reach()
+        return self.object_by_name.get(name)
+
+    def put(self, name: str, content: bytes) -> None:
+        self._reach()
+        self.object_by_name[name] = content
+
+    def list(self) -> tuple[Vm, ...]:
+        self._reach()
+        return self.vms
+
+    def _reach(self) -> None:
+        if self.down:
+            raise PlatformUnavailableError("outage", step="platform")
+        self.reached_at = self.clock.now
+
+
+def make_step_kernel(clock: ManualClock, platform: MemoryPlatform) -> Kernel:
+    """Return a kernel whose foundations are fakes."""
+    kernel = make_kernel()
+    kernel.register(ServiceName.CLOCK, clock)
+    kernel.register(ServiceName.TIMER, StepTimer(clock))
+    kernel.register(ServiceName.TASKS, StepTasks())
+    for name in (ServiceName.TABLE, ServiceName.OBJECTS, ServiceName.VMS):
+        kernel.register(name, platform)
+    return kernel
+
+
+def step(kernel: Kernel) -> None:
+    """Run each task of a kernel with fakes for one tick."""
+    kernel.find(ServiceName.TIMER, StepTimer).tick()
+    kernel.find(ServiceName.TASKS, StepTasks).step()
