--- a/tests/demo.py
+++ b/tests/demo.py
@@ -13,7 +13,6 @@
 from attrs import define, field
 
 from dotterelpier.model.manifest import Manifest
-from dotterelpier.wire.manifest_toml import read_manifest
 from tests.callers import Caller, CallerResult
 from tests.utils import CONTROL_ADDRESS, System, request_json, running_system
 
@@ -48,17 +47,17 @@
 
 def main(manifest_file: str) -> int:
     """Run the demo and return its exit status."""
-    path = Path(manifest_file)
-    manifest = read_manifest(path.read_text(encoding="utf-8"), manifest_file)
+    text = Path(manifest_file).read_text(encoding="utf-8")
     with (
         tempfile.TemporaryDirectory() as folder,
-        running_system(Path(folder), path, manifest) as system,
+        running_system(Path(folder), text) as system,
     ):
         return _run(system)
 
 
 def _run(system: System) -> int:
-    print(f"starting {ENTRIES} entries and {len(system.manifest.backend_servers)}")
+    servers = len(system.manifest.backend_servers)
+    print(f"starting {ENTRIES} entries and {servers} backend servers")
     system.start_standins("--probe_s", "0.006")
     system.start_entries(ENTRIES)
     applied = system.apply()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from dotterelpier.wire.manifest_toml import read_manifest
 from tests.utils import ROOT, System, command, request, running_system
 
 SMALL = """
@@ -48,9 +47,7 @@
         for net, service in enumerate(("catalogue", "reservations"))
         for number in range(1, 5)
     )
-    file = folder / "manifest.toml"
-    file.write_text(text)
-    with running_system(folder, file, read_manifest(text, str(file))) as running:
+    with running_system(folder, text) as running:
         running.start_standins()
         running.start_entries(3)
         applied = running.apply()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -16,10 +17,16 @@
 
 from dotterelpier.clients.http_connection import open_connection
 from dotterelpier.model.manifest import Manifest
+from dotterelpier.wire.manifest_toml import read_manifest
 
 ROOT = Path(__file__).resolve().parent.parent
-PLATFORM_ADDRESS = "127.20.0.1:9100"
-CONTROL_ADDRESS = "127.20.0.2:9101"
+
+# Second number of all loopback addresses used, so that several runs can go on side by
+# side on one machine; addresses in manifests are shifted alike.
+DEFAULT_NET = 20
+NET = int(os.environ.get("DOTTERELPIER_TEST_NET", DEFAULT_NET))
+PLATFORM_ADDRESS = f"127.{NET}.0.1:9100"
+CONTROL_ADDRESS = f"127.{NET}.0.2:9101"
 START_TIMEOUT_S = 30.0
 
 
@@ -154,7 +161,7 @@
 
     def start_entry(self, number: int, zone: str, extra: str = "") -> EntryProcess:
         """Start one entry; its number decides its address."""
-        name, host = f"entry-{number}", f"127.20.1.{number}"
+        name, host = f"entry-{number}", f"127.{NET}.1.{number}"
         settings = self.folder / f"{name}.toml"
         settings.write_text(entry_settings(name, zone, host, extra))
         entry = EntryProcess(name, zone, host, settings)
@@ -220,12 +227,19 @@
             process.wait()
 
 
+def shift_addresses(text: str) -> str:
+    """Return the text of a manifest with its loopback addresses shifted."""
+    shift = NET - DEFAULT_NET
+    return re.sub(r'"127\.(\d+)\.', lambda m: f'"127.{int(m[1]) + shift}.', text)
+
+
 @contextlib.contextmanager
-def running_system(
-    folder: Path, manifest_file: Path, manifest: Manifest
-) -> Iterator[System]:
+def running_system(folder: Path, manifest_text: str) -> Iterator[System]:
     """Yield a system without processes and end all that it gets."""
-    system = System(folder, manifest_file, manifest)
+    text = shift_addresses(manifest_text)
+    file = folder / "manifest.toml"
+    file.write_text(text, encoding="utf-8")
+    system = System(folder, file, read_manifest(text, str(file)))
     try:
         yield system
     finally:
