--- a/dotterelpier/clients/peers.py
+++ b/dotterelpier/clients/peers.py
@@ -48,28 +48,41 @@
         """Exchange heartbeats."""
         message = wire.encode_heartbeat(heartbeat)
         try:
-            reply = self._stub(member).Beat(message, timeout=BEAT_TIMEOUT_S)
+            stub = self._stub(member.peer_address)
+            reply = stub.Beat(message, timeout=BEAT_TIMEOUT_S)
         except (grpc.RpcError, ValueError) as error:
-            self._forget(member)
-            raise _unavailable("peer.beat", member, error) from None
+            self._forget(member.peer_address)
+            raise _unavailable("peer.beat", member.id, error) from None
         return wire.decode_heartbeat(reply)
 
     def fetch_manifest(self, member: Member, above: int) -> Revision | None:
         """Return the peer's revision if its number is above the given one."""
         request = peers_pb2.ManifestRequest(above=above)
         try:
-            reply = self._stub(member).FetchManifest(request, timeout=FETCH_TIMEOUT_S)
+            stub = self._stub(member.peer_address)
+            reply = stub.FetchManifest(request, timeout=FETCH_TIMEOUT_S)
             return wire.decode_manifest(reply, member.id)
         except (grpc.RpcError, ValueError, ManifestError) as error:
-            raise _unavailable("peer.fetch_manifest", member, error) from None
+            raise _unavailable("peer.fetch_manifest", member.id, error) from None
+
+    def list_members(self, address: str) -> tuple[Member, ...]:
+        """Return the members that the entry at an address knows."""
+        request = peers_pb2.MembersRequest()
+        try:
+            reply = self._stub(address).ListMembers(request, timeout=FETCH_TIMEOUT_S)
+            return wire.decode_members(reply)
+        except (grpc.RpcError, ValueError) as error:
+            self._forget(address)
+            raise _unavailable("peer.list_members", address, error) from None
 
     def offer_slot(self, member: Member, offer: SlotOffer) -> bool:
         """Offer a slot; return whether a waiting call took it."""
         message = wire.encode_offer(offer)
         try:
-            reply = self._stub(member).OfferSlot(message, timeout=OFFER_TIMEOUT_S)
+            stub = self._stub(member.peer_address)
+            reply = stub.OfferSlot(message, timeout=OFFER_TIMEOUT_S)
         except (grpc.RpcError, ValueError) as error:
-            raise _unavailable("peer.offer_slot", member, error) from None
+            raise _unavailable("peer.offer_slot", member.id, error) from None
         return bool(reply.taken)
 
     def hand_over(
@@ -84,30 +97,31 @@
             sender_id=self._own_id, backend_id=backend_id, assignment=assignment
         )
         try:
-            replies = self._stub(member).HandOver(request, timeout=HANDOVER_TIMEOUT_S)
+            stub = self._stub(member.peer_address)
+            replies = stub.HandOver(request, timeout=HANDOVER_TIMEOUT_S)
             for reply in replies:
                 progress(wire.decode_handover(reply))
         except (grpc.RpcError, ValueError) as error:
-            raise _unavailable("peer.hand_over", member, error) from None
+            raise _unavailable("peer.hand_over", member.id, error) from None
 
-    def _stub(self, member: Member) -> peers_pb2_grpc.PeersStub:
+    def _stub(self, address: str) -> peers_pb2_grpc.PeersStub:
         with self._lock:
-            channel = self._channel_by_address.get(member.peer_address)
+            channel = self._channel_by_address.get(address)
             if channel is None:
-                channel = grpc.insecure_channel(member.peer_address, CHANNEL_OPTIONS)
-                self._channel_by_address[member.peer_address] = channel
+                channel = grpc.insecure_channel(address, CHANNEL_OPTIONS)
+                self._channel_by_address[address] = channel
         return peers_pb2_grpc.PeersStub(channel)
 
-    def _forget(self, member: Member) -> None:
+    def _forget(self, address: str) -> None:
         with self._lock:
-            channel = self._channel_by_address.pop(member.peer_address, None)
+            channel = self._channel_by_address.pop(address, None)
         if channel is not None:
             channel.close()
 
 
-def _unavailable(step: str, member: Member, error: Exception) -> PeerUnavailableError:
+def _unavailable(step: str, peer: str, error: Exception) -> PeerUnavailableError:
     detail = error.details() if isinstance(error, grpc.Call) else str(error)
-    return PeerUnavailableError(str(detail), step=step, peer=member.id)
+    return PeerUnavailableError(str(detail), step=step, peer=peer)
 
 
 def make_peers(own_id: str) -> Peers:
--- a/dotterelpier/frontends/peers.py
+++ b/dotterelpier/frontends/peers.py
@@ -49,6 +49,12 @@
             revision = None
         return wire.encode_manifest(revision)
 
+    def ListMembers(  # noqa: N802
+        self, request: peers_pb2.MembersRequest, context: Any
+    ) -> peers_pb2.MembersReply:
+        """Return all members known here."""
+        return wire.encode_members(self._membership.known_by_id().values())
+
     def OfferSlot(  # noqa: N802
         self, request: peers_pb2.SlotOffer, context: Any
     ) -> peers_pb2.SlotOfferReply:
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -73,7 +73,10 @@
     heartbeat_s : float
         Interval of heartbeats to each peer, in seconds.
     contact_s : float
-        Age up to which a contact counts as fresh, in seconds.
+        Age up to which a contact counts as fresh, in seconds; at most ``lease_s``.
+    seeds : tuple of str
+        ``IP:port`` of control messages of other entries, asked for the members
+        where the platform does not answer at the start.
     """
 
     lease_s: float = field(default=6.0, validator=[gt(0), le(60)])
@@ -81,6 +84,7 @@
     renew_s: float = field(default=1.0, validator=[gt(0), le(10)])
     heartbeat_s: float = field(default=1.0, validator=[gt(0), le(10)])
     contact_s: float = field(default=4.0, validator=[gt(0), le(30)])
+    seeds: tuple[str, ...] = ()
 
 
 @frozen
@@ -189,9 +193,13 @@
         for name in ("caller", "relay", "peer", "operator"):
             key = f"{name}_address"
             address_by_key[f"entry.{key}"] = getattr(settings.entry, key)
+    for index, seed in enumerate(settings.lease.seeds):
+        address_by_key[f"lease.seeds[{index}]"] = seed
     for key, address in address_by_key.items():
         if not is_address(address):
             raise _error(f"{key}: {address!r} is not IP:port", path)
+    if settings.lease.contact_s > settings.lease.lease_s:
+        raise _error("lease.contact_s: is above lease_s", path)
 
 
 def _error(message: str, path: Path) -> SettingsError:
--- a/dotterelpier/wire/peers.py
+++ b/dotterelpier/wire/peers.py
@@ -1,14 +1,17 @@
 """Encodes and decodes the messages between entries."""
 
+from collections.abc import Iterable
+
 from dotterelpier.model.manifest import Revision
 from dotterelpier.model.membership import (
     HandoverState,
     Heartbeat,
+    Member,
     ServiceLoad,
     SlotOffer,
 )
 from dotterelpier.wire import peers_pb2
-from dotterelpier.wire.manifest_toml import make_revision
+from dotterelpier.wire.manifest_toml import is_address, make_revision
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> peers_pb2.Heartbeat:
@@ -93,3 +96,48 @@
 def decode_handover(message: peers_pb2.HandoverState) -> HandoverState:
     """Return the state of a handover from a message."""
     return HandoverState(message.limit, message.in_flight, message.longest_s)
+
+
+def encode_members(members: Iterable[Member]) -> peers_pb2.MembersReply:
+    """Return members as a message."""
+    return peers_pb2.MembersReply(
+        members=[
+            peers_pb2.Member(
+                id=member.id,
+                zone=member.zone,
+                caller_address=member.caller_address,
+                relay_address=member.relay_address,
+                peer_address=member.peer_address,
+                lease_s=member.lease_s,
+                revision=member.revision,
+                leaving=member.leaving,
+            )
+            for member in members
+        ]
+    )
+
+
+def decode_members(message: peers_pb2.MembersReply) -> tuple[Member, ...]:
+    """Return members from a message.
+
+    Raises
+    ------
+    ValueError
+        If an address is malformed.
+    """
+    return tuple(_decode_member(member) for member in message.members)
+
+
+def _decode_member(message: peers_pb2.Member) -> Member:
+    addresses = (message.caller_address, message.relay_address, message.peer_address)
+    for address in addresses:
+        if not is_address(address):
+            raise ValueError(f"member {message.id!r}: {address!r} is not IP:port")
+    return Member(
+        message.id,
+        message.zone,
+        *addresses,
+        lease_s=message.lease_s,
+        revision=message.revision,
+        leaving=message.leaving,
+    )
