Mend leases, homes and the contact rule; replay traces of failures

A renewal paused between its start and the platform hid a lapse: lease_start was set by the time the renewal started. Now by the time it ended. A backend server dropped from the manifest and declared again forgot its former home. It stays in the assignment without a home until that released it. A member acknowledged an assignment with requests in flight at servers it lost, and the successor counted none. It acknowledges once they ended; handovers stop the home first and count then, and in-flight work of several former homes adds up. After an outage the first scan judged leases by how long rows had not changed before it, so the first entry back took homes at once while the holder still sent on its word. A gap between scans starts the observation anew; the holder's word is taken only from replies to its own heartbeats, dated by when it asked. Cold sends without a lease had no deadline, so a paused holder sent them after a takeover. Now they end with the permission. In an outage every member counted as lapsed and the directory went empty. Members heard lately count as live. "In contact" asked whether the platform or a majority answered at all, not whether they confirmed the manifest: an entry that heard of a higher revision but could not fetch it, or lost only the object store, or was resumed from a pause, served the old one. Now the platform's manifest row, or a majority that knows none above, confirms it. An entry that knew no members counted itself as a majority; it does not now. 8. Rows of dead members stayed for good. The coordinator deletes a lapsed row once its address is in use again or its VM is gone from the platform's list for longer than the list lags; a list without the own VM is not trusted.

Homes moved, members joined, left and gone are audited; an older revision no longer changes homes. Clock and faults are those of the fakes, no real time passes.

--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -111,11 +111,17 @@
 
 def _register_control(kernel: Kernel, settings: Settings, me: Member) -> None:
     poll_s = settings.platform.poll_s
-    membership = make_membership(kernel, me, settings.lease, poll_s)
+    vm_list_lag_s = settings.platform.vm_list_lag_s
+    membership = make_membership(kernel, me, settings.lease, poll_s, vm_list_lag_s)
     kernel.register(
         ServiceName.MEMBERSHIP,
         membership,
-        (ServiceName.TIMER, ServiceName.TABLE, ServiceName.PEERS),
+        (
+            ServiceName.TIMER,
+            ServiceName.TABLE,
+            ServiceName.PEERS,
+            ServiceName.AUDIT,
+        ),
     )
     manifest = make_manifest_keeper(kernel, poll_s)
     kernel.register(ServiceName.MANIFEST, manifest, (ServiceName.MEMBERSHIP,))
--- a/dotterelpier/model/membership.py
+++ b/dotterelpier/model/membership.py
@@ -26,7 +26,8 @@
     revision : int
         Highest manifest revision in force on this entry.
     assignment : int
-        Highest assignment number in force on this entry.
+        Highest assignment number in force on this entry, with nothing in flight at
+        the backend servers that it took away.
     leaving : bool
         Whether the entry is in a planned stop and wants no homes.
     """
@@ -50,7 +51,7 @@
     Attributes
     ----------
     entry_id : str
-        Id of the home.
+        Id of the home, empty once the manifest no longer declares the server.
     epoch : int
         Grows with each change of home.
     lost_in_by_previous_id : dict of str to int
@@ -76,10 +77,13 @@
         Grows by one with each change.
     home_by_backend_id : dict of str to Home
         Home of each backend server.
+    revision : int
+        Manifest revision by which it was made.
     """
 
     number: int = 0
     home_by_backend_id: dict[str, Home] = field(factory=dict)
+    revision: int = 0
 
 
 @frozen
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -249,6 +249,10 @@
         ...
 
     def live_by_id(self) -> dict[str, Member]:
+        """Return the members that renew their leases or were heard lately."""
+        ...
+
+    def leased_by_id(self) -> dict[str, Member]:
         """Return the members whose leases were seen renewed, this one included."""
         ...
 
@@ -272,11 +276,14 @@
         ...
 
     def may_take_work(self) -> bool:
-        """Tell whether the platform or a majority of members is in contact."""
+        """Tell whether the manifest was lately confirmed as the highest."""
         ...
 
-    def cold_sends_allowed(self) -> bool:
-        """Tell whether nobody can take over homes while the lease has lapsed."""
+    def cold_sends_until(self) -> float:
+        """Return until when nobody can take over homes without a lease.
+
+        The value is on the monotonic clock, ``-inf`` if somebody can now.
+        """
         ...
 
     def heard(self, heartbeat: Heartbeat) -> None:
@@ -292,7 +299,15 @@
         ...
 
     def acknowledge(self, *, revision: int = 0, assignment: int = 0) -> None:
-        """State numbers in force here, written with the next renewal."""
+        """State numbers in force here, written with the next renewal.
+
+        An assignment counts as in force once nothing is in flight from here at the
+        backend servers that it took away.
+        """
+        ...
+
+    def confirm_manifest(self, at: float) -> None:
+        """State that the platform accepted no revision above the own before ``at``."""
         ...
 
     def set_leaving(self) -> None:
@@ -529,6 +544,10 @@
         """Return the peer's revision if its number is above the given one."""
         ...
 
+    def list_members(self, address: str) -> tuple[Member, ...]:
+        """Return the members that the entry at an address knows."""
+        ...
+
     def offer_slot(self, member: Member, offer: SlotOffer) -> bool:
         """Offer a slot; return whether a waiting call took it."""
         ...
--- /dev/null
+++ b/dotterelpier/services/contacts.py
@@ -0,0 +1,128 @@
+"""What the peers of one entry told, and when."""
+
+import threading
+from collections.abc import Collection
+
+from attrs import define, field
+
+from dotterelpier.model.membership import Heartbeat, Member, PeerStatus
+
+NEVER = float("-inf")
+
+# A peer with a higher revision counts as contact for this long, so that a change can
+# be fetched from it before the entry stops taking work.
+CATCH_UP_S = 1.0
+
+
+@define
+class Contacts:
+    """Latest heartbeats of the peers.
+
+    Parameters
+    ----------
+    contact_s : float
+        Age up to which a heartbeat counts as fresh, in seconds.
+    """
+
+    _contact_s: float
+    _status_by_id: dict[str, PeerStatus] = field(factory=dict)
+    _unreached_at_by_id: dict[str, float] = field(factory=dict)
+    _ahead_since_by_id: dict[str, float] = field(factory=dict)
+    _stranger_reached_at: float = NEVER
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def hear(
+        self, member: Member, heartbeat: Heartbeat, now: float, revision: int
+    ) -> None:
+        """Take in a heartbeat of a known member.
+
+        Parameters
+        ----------
+        member : Member
+            The sender.
+        heartbeat : Heartbeat
+            What it told.
+        now : float
+            On the monotonic clock, in seconds.
+        revision : int
+            Own manifest revision.
+        """
+        with self._lock:
+            self._status_by_id[member.id] = PeerStatus(member, heartbeat, now)
+            if heartbeat.platform_reached:
+                self._unreached_at_by_id.pop(member.id, None)
+            if heartbeat.revision > revision:
+                self._ahead_since_by_id.setdefault(member.id, now)
+            else:
+                self._ahead_since_by_id.pop(member.id, None)
+
+    def hear_reply(
+        self, member: Member, heartbeat: Heartbeat, asked_at: float, revision: int
+    ) -> None:
+        """Take in the reply to an own heartbeat; it was true after ``asked_at``."""
+        self.hear(member, heartbeat, asked_at, revision)
+        if not heartbeat.platform_reached:
+            with self._lock:
+                self._unreached_at_by_id[member.id] = asked_at
+
+    def hear_stranger(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take in a heartbeat of an entry whose lease row was not read yet."""
+        if heartbeat.platform_reached:
+            self._stranger_reached_at = now
+
+    def retain(self, member_ids: Collection[str]) -> None:
+        """Forget all peers but these."""
+        with self._lock:
+            for member_id in self._status_by_id.keys() - set(member_ids):
+                del self._status_by_id[member_id]
+                self._unreached_at_by_id.pop(member_id, None)
+                self._ahead_since_by_id.pop(member_id, None)
+
+    def status(self, member: Member) -> PeerStatus:
+        """Return what is known of a peer."""
+        with self._lock:
+            return self._status_by_id.get(member.id, PeerStatus(member))
+
+    def heard(self, member_id: str, now: float) -> bool:
+        """Tell whether a peer was heard lately."""
+        with self._lock:
+            status = self._status_by_id.get(member_id)
+        return status is not None and now - status.heard_at < self._contact_s
+
+    def agreeing(self, member_ids: Collection[str], now: float, revision: int) -> int:
+        """Return how many peers were heard lately and know no higher revision.
+
+        A peer that knows one still counts for ``CATCH_UP_S``.
+        """
+        return sum(
+            self.heard(member_id, now) and not self._is_ahead(member_id, now, revision)
+            for member_id in member_ids
+        )
+
+    def cold_sends_until(self, member_ids: Collection[str], now: float) -> float:
+        """Return until when no peer can take over homes, on the monotonic clock.
+
+        Each peer must have replied lately that it does not reach the platform; it
+        claims nothing for longer than ``contact_s`` after it reaches it again.
+        """
+        if now - self._stranger_reached_at < self._contact_s:
+            return NEVER
+        with self._lock:
+            oldest = min(
+                (self._unreached_at_by_id.get(key, NEVER) for key in member_ids),
+                default=now,
+            )
+        return oldest + self._contact_s
+
+    def _is_ahead(self, member_id: str, now: float, revision: int) -> bool:
+        with self._lock:
+            status = self._status_by_id.get(member_id)
+            since = self._ahead_since_by_id.get(member_id, now)
+        if status is None or status.heartbeat is None:
+            return False
+        return status.heartbeat.revision > revision and now - since > CATCH_UP_S
+
+
+def make_contacts(contact_s: float) -> Contacts:
+    """Return contacts before the first heartbeat."""
+    return Contacts(contact_s)
--- a/dotterelpier/services/homes.py
+++ b/dotterelpier/services/homes.py
@@ -3,16 +3,17 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 from loguru import logger
 
 from dotterelpier.errors import (
     ConflictError,
     DotterelpierError,
     PeerUnavailableError,
-    PlatformError,
+    TaskPoolFullError,
 )
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.membership import (
     Assignment,
     HandoverState,
@@ -22,6 +23,7 @@
 )
 from dotterelpier.model.platform import ABSENT, Write
 from dotterelpier.protocols import (
+    Audit,
     Clock,
     Homes,
     ManifestKeeper,
@@ -34,10 +36,20 @@
     Tasks,
     Timer,
 )
-from dotterelpier.services.placement import place
+from dotterelpier.services.placement import NO_ENTRY, place
 from dotterelpier.wire.rows import ASSIGNMENT_KEY, decode_row, encode_row
 
 NOTHING_IN_FLIGHT = HandoverState(0, 0, 0.0)
+LONGEST_CALL_S = 3600.0
+
+
+@frozen
+class _Handover:
+    """One backend server asked from one of its former homes."""
+
+    backend_id: str
+    member_id: str
+    lost_in: int
 
 
 @define
@@ -56,15 +68,16 @@
     _peers: Peers
     _membership: Membership
     _manifest: ManifestKeeper
+    _audit: Audit
     _assignment: Assignment = field(factory=Assignment)
     _row_version: str = ABSENT
     _read_started_at: float = float("-inf")
     _changed_at: float = float("-inf")
     _active_ids: set[str] = field(factory=set)
+    _draining_ids: set[str] = field(factory=set)
     _given_up_in_by_id: dict[str, int] = field(factory=dict)
-    _handovers: set[tuple[str, str, int]] = field(factory=set)
-    _handed_over: set[tuple[str, str, int]] = field(factory=set)
-    _grant_by_id: dict[str, HomeGrant] = field(factory=dict)
+    _asked: set[_Handover] = field(factory=set)
+    _state_by_handover: dict[_Handover, HandoverState] = field(factory=dict)
     _listeners: list[Callable[[str, HomeGrant | None], None]] = field(factory=list)
     _bearing_source: Callable[[str], HandoverState] = lambda _: NOTHING_IN_FLIGHT
     _subscription: Subscription | None = None
@@ -96,9 +109,10 @@
             return lease_end if cold else float("inf")
         if not self._membership.may_take_work():
             return None
-        if cold and not self._membership.cold_sends_allowed():
-            return None
-        return float("inf")
+        if not cold:
+            return float("inf")
+        until = self._membership.cold_sends_until()
+        return until if until > self._clock.monotonic() else None
 
     def assignment(self) -> Assignment:
         """Return the assignment in force on this entry."""
@@ -109,7 +123,7 @@
         with self._lock:
             self._listeners.append(listener)
             for backend_id in self._active_ids:
-                listener(backend_id, HomeGrant())
+                listener(backend_id, self._grant(backend_id))
 
     def report_bearing_from(self, source: Callable[[str], HandoverState]) -> None:
         """Take what a backend server bears and has in flight from ``source``."""
@@ -120,10 +134,10 @@
         with self._lock:
             given_up_in = self._given_up_in_by_id.get(backend_id, 0)
             self._given_up_in_by_id[backend_id] = max(given_up_in, assignment)
-            state = self._bearing_source(backend_id)
+            limit = self._bearing_source(backend_id).limit
             if self._since(backend_id) < assignment:
                 self._deactivate(backend_id)
-        return state
+        return evolve(self._bearing_source(backend_id), limit=limit)
 
     def _wake(self) -> None:
         if self._subscription is not None:
@@ -138,6 +152,7 @@
             try:
                 self._read_assignment()
                 self._take_up_homes()
+                self._acknowledge()
                 self._coordinate()
             except DotterelpierError as error:
                 logger.warning("homes not updated", error=str(error), code=error.code)
@@ -156,34 +171,57 @@
             self._row_version = row_version
             self._changed_at = self._clock.monotonic()
             self._assignment = assignment
-            for backend_id in tuple(self._active_ids):
-                home = assignment.home_by_backend_id.get(backend_id)
-                if home is None or home.entry_id != own_id:
-                    self._deactivate(backend_id)
-        self._membership.acknowledge(assignment=assignment.number)
+            own_ids = {
+                backend_id
+                for backend_id, home in assignment.home_by_backend_id.items()
+                if home.entry_id == own_id
+            }
+            for backend_id in self._active_ids - own_ids:
+                self._deactivate(backend_id)
+            self._state_by_handover = {
+                handover: state
+                for handover, state in self._state_by_handover.items()
+                if handover.backend_id in own_ids
+            }
+
+    def _acknowledge(self) -> None:
+        """State the assignment as in force once nothing lost is in flight."""
+        with self._lock:
+            self._draining_ids = {
+                backend_id
+                for backend_id in self._draining_ids
+                if self._bearing_source(backend_id).in_flight
+            }
+            drained = not self._draining_ids
+            number = self._assignment.number
+        if drained:
+            self._membership.acknowledge(assignment=number)
 
     def _take_up_homes(self) -> None:
-        own_id = self._membership.me().id
-        revision = self._manifest.current()
-        declared = revision.manifest.backend_by_id if revision is not None else {}
         for backend_id, home in self._assignment.home_by_backend_id.items():
-            if home.entry_id != own_id or backend_id in self._active_ids:
-                continue
-            if backend_id not in declared:
+            if not self._may_take_up(backend_id, home):
                 continue
-            if self._given_up_in_by_id.get(backend_id, 0) > home.since:
-                continue
-            waited_for = [
-                (member_id, lost_in)
-                for member_id, lost_in in home.lost_in_by_previous_id.items()
-                if member_id != own_id
-                and (backend_id, member_id, lost_in) not in self._handed_over
-                and not self._is_released(member_id, lost_in)
-            ]
-            if not waited_for:
+            missing = self._missing_handovers(backend_id, home)
+            if not missing:
                 self._activate(backend_id)
-            for member_id, lost_in in waited_for:
-                self._ask_for_handover(backend_id, member_id, lost_in)
+            for handover in missing:
+                self._ask_for_handover(handover)
+
+    def _may_take_up(self, backend_id: str, home: Home) -> bool:
+        if home.entry_id != self._membership.me().id or backend_id in self._active_ids:
+            return False
+        revision = self._manifest.current()
+        if revision is None or backend_id not in revision.manifest.backend_by_id:
+            return False
+        return self._given_up_in_by_id.get(backend_id, 0) <= home.since
+
+    def _missing_handovers(self, backend_id: str, home: Home) -> list[_Handover]:
+        handovers = [
+            _Handover(backend_id, member_id, lost_in)
+            for member_id, lost_in in home.lost_in_by_previous_id.items()
+            if not self._is_released(member_id, lost_in)
+        ]
+        return [item for item in handovers if item not in self._state_by_handover]
 
     def _is_released(self, member_id: str, lost_in: int) -> bool:
         member = self._membership.known_by_id().get(member_id)
@@ -191,45 +229,73 @@
             return True
         return self._membership.lapsed(member_id, self._changed_at)
 
-    def _ask_for_handover(self, backend_id: str, member_id: str, lost_in: int) -> None:
-        member = self._membership.known_by_id().get(member_id)
-        handover = (backend_id, member_id, lost_in)
-        if member is None or handover in self._handovers:
+    def _ask_for_handover(self, handover: _Handover) -> None:
+        member = self._membership.known_by_id().get(handover.member_id)
+        if member is None or handover in self._asked:
             return
-        self._handovers.add(handover)
-        self._tasks.submit(
-            TaskKind.HANDOVER, self._take_over, backend_id, member, lost_in
-        )
+        self._asked.add(handover)
+        try:
+            self._tasks.submit(TaskKind.HANDOVER, self._take_over, handover, member)
+        except TaskPoolFullError as error:
+            self._asked.discard(handover)
+            logger.warning("handover put off", error=str(error), code=error.code)
 
-    def _take_over(self, backend_id: str, member: Member, lost_in: int) -> None:
-        handover = (backend_id, member.id, lost_in)
-        last = NOTHING_IN_FLIGHT
+    def _take_over(self, handover: _Handover, member: Member) -> None:
+        """Follow what a former home still has in flight."""
+        limit: int | None = None
 
         def progress(state: HandoverState) -> None:
-            nonlocal last
-            last = state
-            with self._lock:
-                self._handed_over.add(handover)
-                self._grant_by_id[backend_id] = HomeGrant(state.limit, state.in_flight)
-                if backend_id in self._active_ids:
-                    self._notify(backend_id, self._grant_by_id[backend_id])
-            self._wake()
+            nonlocal limit
+            limit = state.limit if limit is None else limit
+            self._take_in_handover(handover, evolve(state, limit=limit))
 
         try:
-            self._peers.hand_over(member, backend_id, lost_in, progress)
+            self._peers.hand_over(
+                member, handover.backend_id, handover.lost_in, progress
+            )
         except PeerUnavailableError as error:
-            logger.warning("handover broke off", backend=backend_id, error=str(error))
-            if handover in self._handed_over:
-                self._timer.after(
-                    last.longest_s, lambda: progress(evolve(last, in_flight=0))
-                )
+            logger.warning("handover broke off", error=str(error), code=error.code)
         finally:
-            self._handovers.discard(handover)
+            self._asked.discard(handover)
+        last = self._state_by_handover.get(handover)
+        if last is not None and last.in_flight:
+            drained = evolve(last, in_flight=0)
+            self._timer.after(
+                min(last.longest_s, LONGEST_CALL_S),
+                lambda: self._take_in_handover(handover, drained),
+            )
+
+    def _take_in_handover(self, handover: _Handover, state: HandoverState) -> None:
+        backend_id = handover.backend_id
+        with self._lock:
+            self._state_by_handover[handover] = state
+            if backend_id in self._active_ids:
+                self._notify(backend_id, self._grant(backend_id))
+        self._wake()
+
+    def _grant(self, backend_id: str) -> HomeGrant:
+        """Return what the former homes that were asked still have in flight.
+
+        What the server bears is taken from the home directly before; one that never
+        took it up lets it start cold.
+        """
+        since = self._since(backend_id)
+        limit = in_flight = 0
+        for handover, state in self._state_by_handover.items():
+            if handover.backend_id != backend_id:
+                continue
+            in_flight += state.in_flight
+            if handover.lost_in == since:
+                limit = state.limit
+        return HomeGrant(limit, in_flight)
 
     def _activate(self, backend_id: str) -> None:
         with self._lock:
-            grant = self._grant_by_id.pop(backend_id, HomeGrant())
+            if self._given_up_in_by_id.get(backend_id, 0) > self._since(backend_id):
+                return
+            grant = self._grant(backend_id)
             self._active_ids.add(backend_id)
+            self._draining_ids.discard(backend_id)
             self._notify(backend_id, grant)
         logger.info("home taken up", backend=backend_id, limit=grant.limit)
 
@@ -237,6 +303,7 @@
         if backend_id not in self._active_ids:
             return
         self._active_ids.discard(backend_id)
+        self._draining_ids.add(backend_id)
         self._notify(backend_id, None)
         logger.info("home given up", backend=backend_id)
 
@@ -246,31 +313,54 @@
 
     def _coordinate(self) -> None:
         revision = self._manifest.current()
-        live_by_id = self._membership.live_by_id()
+        leased_by_id = self._membership.leased_by_id()
         own_id = self._membership.me().id
-        if revision is None or own_id != min(live_by_id, default=""):
+        if revision is None or own_id != min(leased_by_id, default=""):
             return
-        wanted = place(
-            revision.manifest, live_by_id, self._assignment, self._is_released
-        )
-        if wanted is self._assignment:
+        before = self._assignment
+        wanted = place(revision, leased_by_id, before, self._is_released)
+        if wanted is before:
             return
         write = Write(ASSIGNMENT_KEY, encode_row(wanted), self._row_version)
+        moves = _moves(before, wanted)
+        audit = self._audit.entry_write(self._moved_event(wanted, moves))
         try:
-            (version,) = self._table.commit([write])
+            version, _ = self._table.commit([write, audit])
         except ConflictError:
             return
-        except PlatformError:
-            # The write may have taken effect; the next read tells.
-            raise
-        self._log_moves(self._assignment.home_by_backend_id, wanted)
+        logger.info("homes moved", assignment=wanted.number, count=len(moves))
         self._put_in_force(wanted, version)
         self._wake()
 
-    def _log_moves(self, before: dict[str, Home], wanted: Assignment) -> None:
-        for backend_id, home in wanted.home_by_backend_id.items():
-            if before.get(backend_id) != home:
-                logger.info("home moved", backend=backend_id, home=home.entry_id)
+    def _moved_event(self, wanted: Assignment, moves: tuple[str, ...]) -> AuditEntry:
+        me = self._membership.me()
+        return AuditEntry(
+            self._clock.unix(),
+            "homes.moved",
+            me.id,
+            me.caller_address,
+            revision=wanted.revision,
+            step="homes.coordinate",
+            changes=moves,
+        )
+
+
+def _moves(before: Assignment, wanted: Assignment) -> tuple[str, ...]:
+    backend_ids = sorted(before.home_by_backend_id | wanted.home_by_backend_id)
+    pairs = [
+        (backend_id, _home_id(before, backend_id), _home_id(wanted, backend_id))
+        for backend_id in backend_ids
+    ]
+    return tuple(
+        f"{backend_id}: {old or 'none'} -> {new or 'none'}"
+        for backend_id, old, new in pairs
+        if old != new
+    )
+
+
+def _home_id(assignment: Assignment, backend_id: str) -> str:
+    home = assignment.home_by_backend_id.get(backend_id)
+    return NO_ENTRY if home is None else home.entry_id
 
 
 def make_homes(kernel: Kernel, poll_s: float) -> Homes:
@@ -284,4 +374,5 @@
         kernel.find(ServiceName.PEERS, Peers),
         kernel.find(ServiceName.MEMBERSHIP, Membership),
         kernel.find(ServiceName.MANIFEST, ManifestKeeper),
+        kernel.find(ServiceName.AUDIT, Audit),
     )
--- a/dotterelpier/services/manifest.py
+++ b/dotterelpier/services/manifest.py
@@ -3,14 +3,19 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 from loguru import logger
 
-from dotterelpier.errors import DotterelpierError, PeerUnavailableError
+from dotterelpier.errors import (
+    DotterelpierError,
+    PeerUnavailableError,
+    PlatformUnavailableError,
+)
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.manifest import Revision
 from dotterelpier.model.membership import Heartbeat, Member
 from dotterelpier.protocols import (
+    Clock,
     ManifestKeeper,
     Membership,
     Objects,
@@ -22,7 +27,7 @@
     Tasks,
     Timer,
 )
-from dotterelpier.wire.manifest_toml import make_revision
+from dotterelpier.wire.manifest_toml import digest, make_revision
 from dotterelpier.wire.rows import (
     MANIFEST_KEY,
     ManifestRow,
@@ -31,10 +36,19 @@
 )
 
 
+@frozen
+class _HeardRevision:
+    """A peer that told of a higher revision."""
+
+    member: Member
+    heartbeat: Heartbeat
+
+
 @define
 class HighestManifest:
     """Reads revisions from the platform and from peers and never goes back."""
 
+    _clock: Clock
     _table: Table
     _objects: Objects
     _timer: Timer
@@ -45,7 +59,7 @@
     _revision: Revision | None = None
     _row_version: str = ""
     _listeners: list[Callable[[Revision], None]] = field(factory=list)
-    _heard: dict[str, Member] = field(factory=dict)
+    _heard_by_id: dict[str, _HeardRevision] = field(factory=dict)
     _subscription: Subscription | None = None
     _lock: threading.RLock = field(factory=threading.RLock)
 
@@ -75,24 +89,30 @@
         if heartbeat.revision <= self._number():
             return
         with self._lock:
-            self._heard[member.id] = member
+            self._heard_by_id[member.id] = _HeardRevision(member, heartbeat)
         if self._subscription is not None:
             self._subscription.wake()
 
     def _follow(self, subscription: Subscription) -> None:
         while subscription.wait():
-            self._pull_from_peers()
             try:
                 self._pull_from_platform()
             except DotterelpierError as error:
                 logger.warning("manifest not read", error=str(error), code=error.code)
+            self._pull_from_peers()
 
     def _pull_from_peers(self) -> None:
+        """Fetch the revisions that peers told of, until the highest is in force."""
         with self._lock:
-            members, self._heard = tuple(self._heard.values()), {}
-        for member in members:
+            heard, self._heard_by_id = self._heard_by_id, {}
+        by_number = sorted(
+            heard.values(), key=lambda item: item.heartbeat.revision, reverse=True
+        )
+        for item in by_number:
+            if item.heartbeat.revision <= self._number():
+                return
             try:
-                revision = self._peers.fetch_manifest(member, self._number())
+                revision = self._peers.fetch_manifest(item.member, self._number())
             except PeerUnavailableError as error:
                 logger.warning("manifest not fetched", error=str(error))
                 continue
@@ -100,22 +120,28 @@
                 self._install(revision)
 
     def _pull_from_platform(self) -> None:
+        started_at = self._clock.monotonic()
         row = self._table.read_if_changed(MANIFEST_KEY, self._row_version)
-        if row is None:
+        if row is not None:
+            self._pull_object(decode_row(row, ManifestRow))
+            self._row_version = row.version
+        self._membership.confirm_manifest(started_at)
+
+    def _pull_object(self, accepted: ManifestRow) -> None:
+        if accepted.number <= self._number():
             return
-        accepted = decode_row(row, ManifestRow)
-        if accepted.number > self._number():
-            content = self._objects.get(manifest_object(accepted.digest))
-            if content is None:
-                logger.error("manifest object is missing", digest=accepted.digest)
-                return
-            origin = manifest_object(accepted.digest)
-            self._install(
-                make_revision(
-                    accepted.number, accepted.apply_id, content.decode(), origin
-                )
+        origin = manifest_object(accepted.digest)
+        content = self._objects.get(origin)
+        if content is None:
+            raise PlatformUnavailableError(
+                f"object {origin!r} is missing", step="manifest.read"
+            )
+        text = content.decode(errors="replace")
+        if digest(text) != accepted.digest:
+            raise PlatformUnavailableError(
+                f"object {origin!r} has other content", step="manifest.read"
             )
-        self._row_version = row.version
+        self._install(make_revision(accepted.number, accepted.apply_id, text, origin))
 
     def _install(self, revision: Revision) -> None:
         with self._lock:
@@ -136,6 +162,7 @@
 def make_manifest_keeper(kernel: Kernel, poll_s: float) -> ManifestKeeper:
     """Return the keeper of the manifest."""
     return HighestManifest(
+        kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.TABLE, Table),
         kernel.find(ServiceName.OBJECTS, Objects),
         kernel.find(ServiceName.TIMER, Timer),
--- a/dotterelpier/services/membership.py
+++ b/dotterelpier/services/membership.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 from loguru import logger
 
 from dotterelpier.errors import (
@@ -13,9 +13,11 @@
     TaskPoolFullError,
 )
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.membership import Heartbeat, Member, PeerStatus, ServiceLoad
 from dotterelpier.model.platform import ABSENT, Write
 from dotterelpier.protocols import (
+    Audit,
     Clock,
     Membership,
     Peers,
@@ -25,26 +27,20 @@
     TaskKind,
     Tasks,
     Timer,
+    Vms,
 )
+from dotterelpier.services.contacts import Contacts, make_contacts
+from dotterelpier.services.pruning import RowPruner, make_row_pruner
+from dotterelpier.services.sightings import NEVER, Sightings, make_sightings
 from dotterelpier.settings import LeaseSettings
 from dotterelpier.wire.rows import MEMBER_PREFIX, decode_row, encode_row, member_key
 
-
-@frozen
-class _Sighting:
-    """A lease row, and since when it was seen unchanged."""
-
-    member: Member
-    first_seen_at: float
+DEFAULT_VM_LIST_LAG_S = 30.0
 
 
 @define
 class LeaseMembership:
-    """Keeps the own lease row renewed and watches those of the others.
-
-    A lease of another counts as lapsed once its row was seen unchanged for the
-    duration of the lease and a margin, on the monotonic clock of this process.
-    """
+    """Keeps the own lease row renewed and watches those of the others."""
 
     _me: Member
     _lease: LeaseSettings
@@ -54,15 +50,18 @@
     _tasks: Tasks
     _table: Table
     _peers: Peers
+    _audit: Audit
+    _sightings: Sightings
+    _contacts: Contacts
+    _pruner: RowPruner
     _row_version: str = ABSENT
-    _lease_start: float = float("-inf")
-    _lease_end: float = float("-inf")
-    _sighting_by_id: dict[str, _Sighting] = field(factory=dict)
-    _scan_started_at: float = float("-inf")
-    _status_by_id: dict[str, PeerStatus] = field(factory=dict)
+    _lease_start: float = NEVER
+    _lease_end: float = NEVER
+    _manifest_confirmed_at: float = NEVER
     _listeners: list[Callable[[Member, Heartbeat], None]] = field(factory=list)
     _load_source: Callable[[], dict[str, ServiceLoad]] = dict
     _subscriptions: list[Subscription] = field(factory=list)
+    _served_ids: set[str] = field(factory=set)
     _lock: threading.RLock = field(factory=threading.RLock)
 
     def start(self) -> None:
@@ -78,10 +77,11 @@
             subscriptions = tuple(self._subscriptions)
         for subscription in subscriptions:
             subscription.cancel()
+        left = self._audit.entry_write(self._event("member.left", self._me.id))
         try:
-            self._table.commit([Write(member_key(self._me.id), None)])
+            self._table.commit([Write(member_key(self._me.id), None), left])
         except PlatformError as error:
-            logger.warning("lease row not deleted", error=str(error))
+            logger.warning("lease row not deleted", error=str(error), code=error.code)
 
     def me(self) -> Member:
         """Return the own lease row."""
@@ -96,84 +96,77 @@
         return self._lease_start
 
     def live_by_id(self) -> dict[str, Member]:
-        """Return the members whose leases were seen renewed, this one included."""
+        """Return the members that renew their leases or were heard lately."""
         now = self._clock.monotonic()
-        with self._lock:
-            live = {
-                member_id: sighting.member
-                for member_id, sighting in self._sighting_by_id.items()
-                if not self._is_lapsed(sighting, now)
-            }
-        if self._me.id in live:
-            live[self._me.id] = self._me
+        leased_by_id = self._sightings.leased_by_id(now)
+        live = {
+            member_id: member
+            for member_id, member in self._sightings.known_by_id().items()
+            if member_id in leased_by_id or self._contacts.heard(member_id, now)
+        }
+        live[self._me.id] = self._me
         return live
 
+    def leased_by_id(self) -> dict[str, Member]:
+        """Return the members whose leases were seen renewed, this one included."""
+        leased = self._sightings.leased_by_id(self._clock.monotonic())
+        if self._me.id in leased:
+            leased[self._me.id] = self._me
+        return leased
+
     def known_by_id(self) -> dict[str, Member]:
         """Return all members with a lease row, this one included."""
-        with self._lock:
-            known = {key: item.member for key, item in self._sighting_by_id.items()}
-        known[self._me.id] = self._me
-        return known
+        return {**self._sightings.known_by_id(), self._me.id: self._me}
 
     def peers(self) -> tuple[PeerStatus, ...]:
         """Return what is known of the other live members."""
-        live_by_id = self.live_by_id()
-        with self._lock:
-            return tuple(
-                self._status_by_id.get(member_id, PeerStatus(member))
-                for member_id, member in live_by_id.items()
-                if member_id != self._me.id
-            )
+        return tuple(
+            self._contacts.status(member)
+            for member_id, member in self.live_by_id().items()
+            if member_id != self._me.id
+        )
 
     def lapsed(self, member_id: str, since: float) -> bool:
         """Tell whether a member's lease surely ended, or its row is gone."""
-        with self._lock:
-            if self._scan_started_at <= since:
-                return False
-            sighting = self._sighting_by_id.get(member_id)
-            return sighting is None or self._is_lapsed(sighting, self._scan_started_at)
+        return self._sightings.has_lapsed(member_id, since)
 
     def platform_reached(self) -> bool:
         """Tell whether the platform answered lately."""
         return self._is_fresh(self._table.last_reached_at())
 
     def may_take_work(self) -> bool:
-        """Tell whether the platform or a majority of members is in contact."""
-        if self.platform_reached():
-            return True
-        known = self.known_by_id()
-        with self._lock:
-            heard = sum(
-                self._is_fresh(status.heard_at)
-                for member_id, status in self._status_by_id.items()
-                if member_id in known
-            )
-        return 2 * (heard + 1) > len(known)
+        """Tell whether the manifest was lately confirmed as the highest.
 
-    def cold_sends_allowed(self) -> bool:
-        """Tell whether nobody can take over homes while the lease has lapsed."""
-        if self.platform_reached():
+        Either the platform confirmed it, or a majority of members knows none above.
+        """
+        if self._is_fresh(self._manifest_confirmed_at):
+            return True
+        known_by_id = self._sightings.known_by_id()
+        if not known_by_id:
             return False
-        known = self.known_by_id()
-        with self._lock:
-            return all(
-                self._cannot_reach_platform(member_id)
-                for member_id in known
-                if member_id != self._me.id
-            )
+        others = known_by_id.keys() - {self._me.id}
+        agreeing = self._contacts.agreeing(
+            others, self._clock.monotonic(), self._me.revision
+        )
+        return 2 * (agreeing + 1) > len(others) + 1
+
+    def cold_sends_until(self) -> float:
+        """Return until when nobody can take over homes without a lease."""
+        now = self._clock.monotonic()
+        if now - self._table.last_reached_at() < self._lease.contact_s:
+            return NEVER
+        others = self._sightings.known_by_id().keys() - {self._me.id}
+        return self._contacts.cold_sends_until(others, now)
 
     def heard(self, heartbeat: Heartbeat) -> None:
-        """Take in a heartbeat."""
-        with self._lock:
-            sighting = self._sighting_by_id.get(heartbeat.sender_id)
-            if sighting is None or heartbeat.sender_id == self._me.id:
-                return
-            member = sighting.member
-            now = self._clock.monotonic()
-            self._status_by_id[member.id] = PeerStatus(member, heartbeat, now)
-            listeners = tuple(self._listeners)
-        for listener in listeners:
-            listener(member, heartbeat)
+        """Take in a heartbeat that a peer sent."""
+        now = self._clock.monotonic()
+        member = self._sightings.known_by_id().get(heartbeat.sender_id)
+        if member is None:
+            self._contacts.hear_stranger(heartbeat, now)
+        elif member.id != self._me.id:
+            self._contacts.hear(member, heartbeat, now, self._me.revision)
+            self._tell_listeners(member, heartbeat)
 
     def subscribe(self, listener: Callable[[Member, Heartbeat], None]) -> None:
         """Call a listener with each heartbeat of a known member."""
@@ -193,6 +186,10 @@
                 assignment=max(assignment, self._me.assignment),
             )
 
+    def confirm_manifest(self, at: float) -> None:
+        """State that the platform accepted no revision above the own before ``at``."""
+        self._manifest_confirmed_at = max(at, self._manifest_confirmed_at)
+
     def set_leaving(self) -> None:
         """State that this entry is in a planned stop."""
         with self._lock:
@@ -218,18 +215,24 @@
             self._subscriptions.append(subscription)
         return subscription
 
-    def _is_lapsed(self, sighting: _Sighting, now: float) -> bool:
-        patience_s = sighting.member.lease_s + self._lease.margin_s
-        return now - sighting.first_seen_at > patience_s
-
     def _is_fresh(self, at: float) -> bool:
         return self._clock.monotonic() - at < self._lease.contact_s
 
-    def _cannot_reach_platform(self, member_id: str) -> bool:
-        status = self._status_by_id.get(member_id)
-        if status is None or status.heartbeat is None:
-            return False
-        return self._is_fresh(status.heard_at) and not status.heartbeat.platform_reached
+    def _event(self, event: str, member_id: str) -> AuditEntry:
+        return AuditEntry(
+            self._clock.unix(),
+            event,
+            self._me.id,
+            self._me.caller_address,
+            step="membership",
+            peer=member_id,
+        )
+
+    def _tell_listeners(self, member: Member, heartbeat: Heartbeat) -> None:
+        with self._lock:
+            listeners = tuple(self._listeners)
+        for listener in listeners:
+            listener(member, heartbeat)
 
     def _keep_lease(self, subscription: Subscription) -> None:
         while subscription.wait():
@@ -243,85 +246,137 @@
         with self._lock:
             self._me = evolve(self._me, renewals=self._me.renewals + 1)
             me = self._me
-        write = Write(member_key(me.id), encode_row(me), self._row_version)
         try:
-            (self._row_version,) = self._table.commit([write])
+            self._write_row(me)
         except ConflictError:
             # An earlier renewal took effect although its reply was lost, or the
             # row was deleted as that of a dead member.
-            row = self._table.read(write.key)
+            row = self._table.read(member_key(me.id))
             self._row_version = ABSENT if row is None else row.version
-            return
+            self._write_row(me)
+        ended_at = self._clock.monotonic()
+        first = self._lease_start == NEVER
         with self._lock:
-            if started_at > self._lease_end:
-                self._lease_start = self._clock.monotonic()
+            if ended_at > self._lease_end:
+                # Others may have seen the lease lapse before this write.
+                self._lease_start = ended_at
             self._lease_end = started_at + me.lease_s
+        if first:
+            self._audit.record(self._event("member.joined", me.id))
+
+    def _write_row(self, me: Member) -> None:
+        write = Write(member_key(me.id), encode_row(me), self._row_version)
+        (self._row_version,) = self._table.commit([write])
 
     def _watch_members(self, subscription: Subscription) -> None:
         while subscription.wait():
-            started_at = self._clock.monotonic()
             try:
-                rows = self._table.scan(MEMBER_PREFIX)
-                members = [decode_row(row, Member) for row in rows]
+                self._scan_rows()
+                self._prune_rows()
             except PlatformError as error:
                 logger.warning("members not read", error=str(error), code=error.code)
-                continue
-            for member in self._take_in(members, started_at):
-                self._start_peer_task(member)
+                self._ask_seeds()
 
-    def _take_in(self, members: list[Member], started_at: float) -> list[Member]:
-        now = self._clock.monotonic()
-        with self._lock:
-            previous = self._sighting_by_id
-            self._sighting_by_id = {}
-            for member in members:
-                sighting = previous.get(member.id)
-                if sighting is None or sighting.member.renewals != member.renewals:
-                    sighting = _Sighting(member, now)
-                self._sighting_by_id[member.id] = sighting
-            self._scan_started_at = started_at
-            for member_id in self._status_by_id.keys() - self._sighting_by_id.keys():
-                del self._status_by_id[member_id]
-        return [
-            member
-            for member in members
-            if member.id not in previous and member.id != self._me.id
+    def _scan_rows(self) -> None:
+        started_at = self._clock.monotonic()
+        rows = [
+            (decode_row(row, Member), row.version)
+            for row in self._table.scan(MEMBER_PREFIX)
         ]
+        ended_at = self._clock.monotonic()
+        self._sightings.take_in(rows, started_at, ended_at)
+        self._contacts.retain(self._sightings.known_by_id().keys())
+        self._start_peer_tasks()
+
+    def _prune_rows(self) -> None:
+        leased_by_id = self.leased_by_id()
+        if self._me.id != min(leased_by_id, default=""):
+            return
+        for member in self._pruner.prune(self._sightings.lapsed(), leased_by_id):
+            logger.info("member gone", peer=member.id, step="membership")
+            self._audit.record(self._event("member.gone", member.id))
+
+    def _ask_seeds(self) -> None:
+        """Learn the members from peers if the platform never told them."""
+        if self._sightings.known_by_id():
+            return
+        for address in self._lease.seeds:
+            if address == self._me.peer_address:
+                continue
+            try:
+                members = self._peers.list_members(address)
+            except PeerUnavailableError as error:
+                logger.debug("seed not reached", peer=address, error=str(error))
+                continue
+            self._sightings.learn(members)
+        self._start_peer_tasks()
+
+    def _start_peer_tasks(self) -> None:
+        for member in self._sightings.known_by_id().values():
+            if member.id not in self._served_ids and member.id != self._me.id:
+                self._start_peer_task(member)
 
     def _start_peer_task(self, member: Member) -> None:
         subscription = self._subscribe(self._lease.heartbeat_s)
+        self._served_ids.add(member.id)
         try:
             self._tasks.submit(TaskKind.PEER, self._serve_peer, member, subscription)
         except TaskPoolFullError as error:
             logger.error("peer without a task", peer=member.id, error=str(error))
+            self._end_peer_task(member, subscription)
 
     def _serve_peer(self, member: Member, subscription: Subscription) -> None:
-        logger.info("peer joined", peer=member.id)
         while subscription.wait():
             if member.id not in self.known_by_id():
-                break
+                logger.info("peer left", peer=member.id)
+                self._end_peer_task(member, subscription)
+                return
             try:
-                self.heard(self._peers.beat(member, self.heartbeat()))
+                self._beat(member)
             except PeerUnavailableError as error:
                 logger.debug("peer not heard", peer=member.id, error=str(error))
-        logger.info("peer left", peer=member.id)
+
+    def _beat(self, member: Member) -> None:
+        asked_at = self._clock.monotonic()
+        reply = self._peers.beat(member, self.heartbeat())
+        if reply.sender_id != member.id:
+            raise PeerUnavailableError(
+                f"{reply.sender_id} answers at its address",
+                step="peer.beat",
+                peer=member.id,
+            )
+        self._contacts.hear_reply(member, reply, asked_at, self._me.revision)
+        self._tell_listeners(member, reply)
+
+    def _end_peer_task(self, member: Member, subscription: Subscription) -> None:
         subscription.cancel()
         with self._lock:
-            if subscription in self._subscriptions:
-                self._subscriptions.remove(subscription)
+            self._subscriptions.remove(subscription)
+            self._served_ids.discard(member.id)
 
 
 def make_membership(
-    kernel: Kernel, me: Member, lease: LeaseSettings, poll_s: float
+    kernel: Kernel,
+    me: Member,
+    lease: LeaseSettings,
+    poll_s: float,
+    vm_list_lag_s: float = DEFAULT_VM_LIST_LAG_S,
 ) -> Membership:
     """Return the membership of this entry."""
+    clock = kernel.find(ServiceName.CLOCK, Clock)
+    table = kernel.find(ServiceName.TABLE, Table)
+    vms = kernel.find(ServiceName.VMS, Vms)
     return LeaseMembership(
         me,
         lease,
         poll_s,
-        kernel.find(ServiceName.CLOCK, Clock),
+        clock,
         kernel.find(ServiceName.TIMER, Timer),
         kernel.find(ServiceName.TASKS, Tasks),
-        kernel.find(ServiceName.TABLE, Table),
+        table,
         kernel.find(ServiceName.PEERS, Peers),
+        kernel.find(ServiceName.AUDIT, Audit),
+        make_sightings(lease.margin_s, lease.contact_s),
+        make_contacts(lease.contact_s),
+        make_row_pruner(me, vm_list_lag_s, clock, table, vms),
     )
--- a/dotterelpier/services/placement.py
+++ b/dotterelpier/services/placement.py
@@ -3,42 +3,53 @@
 import hashlib
 from collections.abc import Callable, Mapping
 
-from dotterelpier.model.manifest import BackendServer, Manifest
+from dotterelpier.model.manifest import BackendServer, Revision
 from dotterelpier.model.membership import Assignment, Home, Member
 
+NO_ENTRY = ""
+
 
 def place(
-    manifest: Manifest,
-    live_by_id: Mapping[str, Member],
+    revision: Revision,
+    leased_by_id: Mapping[str, Member],
     current: Assignment,
     is_released: Callable[[str, int], bool],
 ) -> Assignment:
     """Return the assignment wanted now; the current one if nothing changes.
 
+    A backend server that is no longer declared keeps its former homes until they
+    released it, so that it can be declared again without two homes.
+
     Parameters
     ----------
-    manifest : Manifest
+    revision : Revision
         Declares the backend servers.
-    live_by_id : mapping of str to Member
-        Live members.
+    leased_by_id : mapping of str to Member
+        Members that hold a lease.
     current : Assignment
         Assignment in force.
     is_released : callable
         Tells whether a member, which lost a home in an assignment of this number,
         surely sends nothing more to its backend server.
     """
-    candidates = [item for item in live_by_id.values() if not item.leaving]
-    if not candidates:
+    candidates = [item for item in leased_by_id.values() if not item.leaving]
+    if not candidates or revision.number < current.revision:
         return current
     number = current.number + 1
+    before = current.home_by_backend_id
     home_by_backend_id: dict[str, Home] = {}
-    for server in manifest.backend_servers:
+    for server in revision.manifest.backend_servers:
         wanted_id = _choose(server, candidates).id
-        home = current.home_by_backend_id.get(server.id)
+        home = before.get(server.id)
         home_by_backend_id[server.id] = _moved(home, wanted_id, number, is_released)
-    if home_by_backend_id == current.home_by_backend_id:
+    for backend_id in before.keys() - home_by_backend_id.keys():
+        home = before[backend_id]
+        if home.entry_id != NO_ENTRY or not _all_released(home, is_released):
+            moved = _moved(home, NO_ENTRY, number, is_released)
+            home_by_backend_id[backend_id] = moved
+    if home_by_backend_id == before:
         return current
-    return Assignment(number, home_by_backend_id)
+    return Assignment(number, home_by_backend_id, revision.number)
 
 
 def _choose(server: BackendServer, candidates: list[Member]) -> Member:
@@ -58,14 +69,22 @@
 ) -> Home:
     if home is None:
         return Home(wanted_id, since=number)
+    if home.entry_id == wanted_id:
+        # Released predecessors are pruned only with the next real change.
+        return home
     unreleased = {
         member_id: lost_in
         for member_id, lost_in in home.lost_in_by_previous_id.items()
         if not is_released(member_id, lost_in)
     }
-    if home.entry_id == wanted_id:
-        # Released predecessors are pruned only with the next real change.
-        return home
-    unreleased[home.entry_id] = number
+    if home.entry_id != NO_ENTRY:
+        unreleased[home.entry_id] = number
     unreleased.pop(wanted_id, None)
     return Home(wanted_id, home.epoch + 1, unreleased, number)
+
+
+def _all_released(home: Home, is_released: Callable[[str, int], bool]) -> bool:
+    return all(
+        is_released(member_id, lost_in)
+        for member_id, lost_in in home.lost_in_by_previous_id.items()
+    )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,8 +9,10 @@
 
 from dotterelpier.errors import ConflictError, PlatformUnavailableError
 from dotterelpier.kernel import Kernel, make_kernel
+from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.platform import ABSENT, Row, Vm, Write
 from dotterelpier.protocols import ServiceName, TaskKind
+from dotterelpier.services.audit import entry_write
 
 
 @define
@@ -99,7 +101,7 @@
     tasks: list[tuple[TaskKind, Callable[..., Any], tuple[Any, ...]]] = field(
         factory=list
     )
-    paused: bool = False
+    after_task: Callable[[], None] = lambda: None
 
     def submit(
         self, kind: TaskKind, function: Callable[..., Any], *args: Any
@@ -108,9 +110,15 @@
         return Future()
 
     def step(self) -> None:
-        """Run each task until its subscription has no tick left."""
-        for _, function, args in tuple(self.tasks):
+        """Run each task until its subscription has no tick left.
+
+        Handovers have no subscription and run once.
+        """
+        tasks = tuple(self.tasks)
+        self.tasks = [item for item in self.tasks if item[0] is not TaskKind.HANDOVER]
+        for _, function, args in tasks:
             function(*args)
+            self.after_task()
 
 
 @define
@@ -146,7 +154,9 @@
     object_by_name: dict[str, bytes] = field(factory=dict)
     vms: tuple[Vm, ...] = ()
     down: bool = False
+    objects_down: bool = False
     lose_replies: int = 0
+    before_commit: Callable[[], None] | None = None
     reached_at: float = float("-inf")
 
     def read(self, key: str) -> Row | None:
@@ -164,6 +174,9 @@
 
     def commit(self, writes: Sequence[Write]) -> tuple[str, ...]:
         self._reach()
+        if self.before_commit is not None:
+            hook, self.before_commit = self.before_commit, None
+            hook()
         versions = self.table.commit(writes)
         if self.lose_replies > 0:
             self.lose_replies -= 1
@@ -175,6 +188,8 @@
 
     def get(self, name: str) -> bytes | None:
         self._reach()
+        if self.objects_down:
+            raise PlatformUnavailableError("outage", step="platform.objects")
         return self.object_by_name.get(name)
 
     def put(self, name: str, content: bytes) -> None:
@@ -191,6 +206,19 @@
         self.reached_at = self.clock.now
 
 
+@define
+class MemoryAudit:
+    """Keeps recorded entries in a list."""
+
+    entries: list[AuditEntry] = field(factory=list)
+
+    def entry_write(self, entry: AuditEntry) -> Write:
+        return entry_write(entry)
+
+    def record(self, entry: AuditEntry) -> None:
+        self.entries.append(entry)
+
+
 def make_step_kernel(clock: ManualClock, platform: MemoryPlatform) -> Kernel:
     """Return a kernel whose foundations are fakes."""
     kernel = make_kernel()
@@ -199,6 +227,7 @@
     kernel.register(ServiceName.TASKS, StepTasks())
     for name in (ServiceName.TABLE, ServiceName.OBJECTS, ServiceName.VMS):
         kernel.register(name, platform)
+    kernel.register(ServiceName.AUDIT, MemoryAudit())
     return kernel
 
 
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,47 @@
+"""Replays recorded traces of failures against their stated outcomes."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.members import Cluster
+
+TRACES = Path(__file__).resolve().parent / "traces" / "homes.jsonl"
+
+
+def _traces() -> list[Any]:
+    parameters = []
+    for line in TRACES.read_text(encoding="utf-8").splitlines():
+        trace = json.loads(line)
+        mark = pytest.mark.promise(trace["promise"])
+        parameters.append(pytest.param(trace, marks=mark, id=trace["name"]))
+    return parameters
+
+
+@pytest.mark.parametrize("trace", _traces())
+def test_trace(trace: dict[str, Any]) -> None:
+    cluster = Cluster()
+    for name, *arguments in trace["steps"]:
+        getattr(cluster, name)(*arguments)
+    for name, expected in trace["expected"].items():
+        assert _seen(cluster, name, expected) == expected, name
+
+
+def _seen(cluster: Cluster, name: str, expected: Any) -> Any:
+    by_name = cluster.node_by_name
+    if not isinstance(expected, dict):
+        return {
+            "homes": cluster.homes_of_server,
+            "peak": lambda: cluster.peak,
+            "rows": lambda: len(cluster.members()),
+            "conflicts": lambda: cluster.conflicts,
+        }[name]()
+    read = {
+        "revision": lambda node: node.revision(),
+        "admits": lambda node: node.admits(),
+        "takes_work": lambda node: node.membership.may_take_work(),
+        "live": lambda node: len(node.membership.live_by_id()),
+    }[name]
+    return {key: read(by_name[key]) for key in expected}
