--- a/dotterelpier/model/membership.py
+++ b/dotterelpier/model/membership.py
@@ -30,6 +30,8 @@
         the backend servers that it took away.
     leaving : bool
         Whether the entry is in a planned stop and wants no homes.
+    known : int
+        Members known to the entry; it counts a majority of no fewer.
     """
 
     id: str
@@ -42,6 +44,7 @@
     revision: int = 0
     assignment: int = 0
     leaving: bool = False
+    known: int = 0
 
 
 @frozen
--- a/dotterelpier/services/membership.py
+++ b/dotterelpier/services/membership.py
@@ -57,6 +57,7 @@
     _row_version: str = ABSENT
     _lease_start: float = NEVER
     _lease_end: float = NEVER
+    _stated_known: int = 0
     _manifest_confirmed_at: float = NEVER
     _listeners: list[Callable[[Member, Heartbeat], None]] = field(factory=list)
     _load_source: Callable[[], dict[str, ServiceLoad]] = dict
@@ -148,7 +149,7 @@
         agreeing = self._contacts.agreeing(
             others, self._clock.monotonic(), self._me.revision
         )
-        return 2 * (agreeing + 1) > len(others) + 1
+        return 2 * (agreeing + 1) > max(len(others) + 1, self._stated_known)
 
     def cold_sends_until(self) -> float:
         """Return until when nobody can take over homes without a lease."""
@@ -243,9 +244,13 @@
 
     def _renew(self) -> None:
         started_at = self._clock.monotonic()
+        known = len(self.known_by_id())
         with self._lock:
-            self._me = evolve(self._me, renewals=self._me.renewals + 1)
+            renewals = self._me.renewals + 1
+            self._me = evolve(self._me, renewals=renewals, known=known)
             me = self._me
+        # The row may hold the number of a renewal whose reply was lost.
+        self._stated_known = max(known, self._stated_known)
         try:
             self._write_row(me)
         except ConflictError:
@@ -254,6 +259,7 @@
             row = self._table.read(member_key(me.id))
             self._row_version = ABSENT if row is None else row.version
             self._write_row(me)
+        self._stated_known = known
         ended_at = self._clock.monotonic()
         first = self._lease_start == NEVER
         with self._lock:
--- a/tests/members.py
+++ b/tests/members.py
@@ -6,7 +6,12 @@
 
 from dotterelpier.errors import ConflictError, PeerUnavailableError
 from dotterelpier.kernel import Kernel
-from dotterelpier.manifest_apply import Applicant, AppliedManifest, apply_manifest
+from dotterelpier.manifest_apply import (
+    Applicant,
+    AppliedManifest,
+    apply_manifest,
+    count_acknowledgements,
+)
 from dotterelpier.model.manifest import Revision
 from dotterelpier.model.membership import (
     HandoverState,
@@ -15,13 +20,19 @@
     Member,
     SlotOffer,
 )
-from dotterelpier.model.platform import Vm, VmState
+from dotterelpier.model.platform import Vm, VmState, Write
 from dotterelpier.protocols import Homes, ManifestKeeper, Membership, ServiceName
 from dotterelpier.services.homes import make_homes
 from dotterelpier.services.manifest import make_manifest_keeper
 from dotterelpier.services.membership import make_membership
 from dotterelpier.settings import LeaseSettings
-from dotterelpier.wire.rows import MEMBER_PREFIX, decode_row
+from dotterelpier.wire.rows import (
+    MANIFEST_KEY,
+    MEMBER_PREFIX,
+    ManifestRow,
+    decode_row,
+    encode_row,
+)
 from tests.fakes import (
     ManualClock,
     MemoryPlatform,
@@ -158,6 +169,8 @@
         current = self._reach(member.peer_address).manifest.current()
         if self._cluster.fetches_refused:
             raise PeerUnavailableError("refused", step="peer.fetch_manifest")
+        if self._cluster.kept is not None:
+            return self._cluster.kept
         return current if current is not None and current.number > above else None
 
     def list_members(self, address: str) -> tuple[Member, ...]:
@@ -209,6 +222,7 @@
     conflicts: int = 0
     starts: int = 0
     fetches_refused: bool = False
+    kept: Revision | None = None
     vms: tuple[Vm, ...] = ()
     peak: int = 0
 
@@ -246,6 +260,8 @@
             for node in tuple(self.node_by_name.values()):
                 if not node.paused and node.name in self.node_by_name:
                     step(node.kernel)
+            self.check()
+            self._check_in_force()
 
     def kill(self, name: str) -> None:
         """End an entry without a planned stop; what it sent runs on."""
@@ -305,6 +321,17 @@
         """Let no entry hand its manifest out."""
         self.fetches_refused = True
 
+    def keep_for_fetches(self) -> None:
+        """Let peers hand out the present revision for good."""
+        (node, *_) = self.node_by_name.values()
+        self.kept = node.manifest.current()
+
+    def roll_back_platform(self) -> None:
+        """Set the platform's manifest row to the first revision."""
+        operator = MemoryPlatform(self.clock, self.table, self.objects)
+        first = ManifestRow(1, self.applied[0][0].digest, "apply-0")
+        operator.commit([Write(MANIFEST_KEY, encode_row(first))])
+
     def list_vms(self, names: str) -> None:
         """Set the platform's list of live VMs."""
         self.vms = tuple(Vm(f"10.0.0.{ord(name)}", VmState.LIVE) for name in names)
@@ -323,7 +350,7 @@
         self, out: bool = False, declared: bool = True, lost: bool = False
     ) -> None:
         """Apply a manifest as an operator whose platform works."""
-        text = manifest_text(out=out, declared=declared)
+        text = manifest_text(out=out, declared=declared) + f"# {len(self.applied)}\n"
         operator = MemoryPlatform(self.clock, self.table, self.objects)
         operator.lose_replies = int(lost)
         applicant = Applicant("test", "host", f"apply-{len(self.applied)}")
@@ -334,7 +361,7 @@
         """Let an operator change a zone while another removes the backend server."""
         operator = MemoryPlatform(self.clock, self.table, self.objects)
         operator.before_commit = lambda: self.apply(declared=False)
-        text = manifest_text(out=first_out)
+        text = manifest_text(out=first_out) + "# race\n"
         applicant = Applicant("other", "host", f"race-{len(self.applied)}")
         try:
             apply_manifest(operator, operator, self.clock, text, applicant)
@@ -376,6 +403,11 @@
             if not node.paused and node.may_send(cold=True)
         ]
 
+    def newest_in_force(self) -> bool:
+        """Tell whether the newest revision counts as in force."""
+        newest, _ = self.applied[-1]
+        return count_acknowledgements(self.members(), newest).in_force
+
     def check(self) -> None:
         """Check the oracle."""
         homes = self.homes_of_server()
@@ -386,25 +418,25 @@
         for node in self.node_by_name.values():
             assert node.revision() >= node.highest, "went back to a lower revision"
             node.highest = node.revision()
-        self._check_in_force()
 
     def _check_in_force(self) -> None:
         if not self.applied:
             return
         newest, forbids = self.applied[-1]
-        members = self.members()
-        acknowledged = sum(item.revision >= newest.number for item in members)
-        if 2 * acknowledged > len(members):
+        if self.newest_in_force():
             self.in_force_since.setdefault(newest.number, self.clock.monotonic())
         since = self.in_force_since.get(newest.number, float("inf"))
-        if not forbids or self.clock.monotonic() - since < self.BOUND_S:
+        if self.clock.monotonic() - since < self.BOUND_S:
             return
-        late = [
+        awake = [node for node in self.node_by_name.values() if not node.paused]
+        late = [node.name for node in awake if forbids and node.admits()]
+        assert not late, f"new work admitted to a zone that is out, at {late}"
+        old = [
             node.name
-            for node in self.node_by_name.values()
-            if not node.paused and node.admits()
+            for node in awake
+            if node.revision() < newest.number and node.membership.may_take_work()
         ]
-        assert not late, f"new work admitted to a zone that is out, at {late}"
+        assert not old, f"an older revision is in force at {old}"
 
     def members(self) -> list[Member]:
         rows = self.table.row_by_key
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -37,6 +37,7 @@
             "peak": lambda: cluster.peak,
             "rows": lambda: len(cluster.members()),
             "conflicts": lambda: cluster.conflicts,
+            "in_force": lambda: cluster.newest_in_force(),
         }[name]()
     read = {
         "revision": lambda node: node.revision(),
