--- a/dotterelpier/clients/backends.py
+++ b/dotterelpier/clients/backends.py
@@ -1,8 +1,11 @@
 """Connections to backend servers."""
 
 import http.client
+from collections.abc import Callable
+from concurrent.futures import Future, InvalidStateError
+from contextlib import suppress
 
-from attrs import define
+from attrs import define, field
 
 from dotterelpier.clients.connections import (
     ConnectionPool,
@@ -35,6 +38,7 @@
 from dotterelpier.settings import LimitSettings
 from dotterelpier.wire.backend import (
     ATTEMPT_HEADER,
+    LOAD_HEADER,
     NOT_RUN,
     OUTCOME_HEADER,
     attempt_headers,
@@ -42,10 +46,38 @@
     read_load_report,
 )
 
-MAX_ANSWER_BYTES = 16 << 20
+MAX_SMALL_ANSWER_BYTES = 64 << 10
 CANCEL_TIMEOUT_S = 1.0
 HEALTH_PATH = "/healthz"
 ATTEMPTS_PATH = "/attempts/"
+CANCELLED_STATUSES = frozenset({200, 204})
+
+
+@define(eq=False)
+class BackendExchange:
+    """An attempt on its way to a backend server.
+
+    Attributes
+    ----------
+    answer : Future of Answer
+        Fails with a ``CallError``.
+    ended : Future of None
+        Done once the backend server surely no longer works on the attempt.
+    """
+
+    answer: "Future[Answer]"
+    _on_cancel: Callable[[], None]
+    ended: "Future[None]" = field(factory=Future)
+
+    def cancel(self) -> None:
+        """Ask the backend server to stop; the futures end all the same."""
+        if not self.ended.done():
+            self._on_cancel()
+
+    def end(self) -> None:
+        """State that the backend server no longer works on the attempt."""
+        with suppress(InvalidStateError):
+            self.ended.set_result(None)
 
 
 @define
@@ -54,6 +86,8 @@
 
     _pool: ConnectionPool
     _clock: Clock
+    _timer: Timer
+    _address_by_id: dict[str, str] = field(factory=dict)
 
     def start(self) -> None:
         """Start the pool."""
@@ -65,21 +99,20 @@
 
     def send(self, server: BackendServer, attempt: Attempt) -> Exchange:
         """Give an attempt to a connection."""
-        call = attempt.call
-        deadline_unix = self._clock.unix() + (
-            attempt.deadline_at - self._clock.monotonic()
-        )
-        headers = dict(call.headers)
-        headers["Host"] = server.address
-        headers.update(attempt_headers(attempt, deadline_unix))
-        exchange = PooledExchange(
-            HttpRequest(call.method, call.path, headers, call.body),
+        self._address_by_id[server.id] = server.address
+        pooled = PooledExchange(
+            self._request(server, attempt),
             attempt.deadline_at,
-            MAX_ANSWER_BYTES,
+            attempt.whole_answer_bytes,
             decode=lambda answer: _decode(answer, attempt, server),
-            on_cancel=lambda: self._cancel(server, attempt),
         )
-        self._pool.send(server.address, exchange, fresh=attempt.fresh_connection)
+        exchange = BackendExchange(
+            pooled.answer, lambda: self._cancel(server, attempt, None)
+        )
+        pooled.ended.add_done_callback(
+            lambda ended: self._on_ended(server, attempt, exchange, ended.result())
+        )
+        self._pool.send(server.address, pooled, fresh=attempt.fresh_connection)
         return exchange
 
     def probe(self, server: BackendServer, timeout_s: float) -> LoadReport:
@@ -100,7 +133,7 @@
             ) from None
         finally:
             connection.close()
-        report = read_load_report(dict(response.headers))
+        report = read_load_report(response.headers.get(LOAD_HEADER))
         if report is None:
             message = f"status {response.status} without a load report"
             raise RefusedError(message, step="probe", peer=server.address)
@@ -108,31 +141,70 @@
 
     def drop(self, backend_id: str) -> None:
         """Close the idle connections to a backend server's address."""
-        self._pool.drop(backend_id)
+        address = self._address_by_id.get(backend_id)
+        if address is not None:
+            self._pool.drop(address)
 
-    def _cancel(self, server: BackendServer, attempt: Attempt) -> None:
+    def _request(self, server: BackendServer, attempt: Attempt) -> HttpRequest:
+        call = attempt.call
+        remaining_s = attempt.deadline_at - self._clock.monotonic()
+        headers = dict(call.headers)
+        headers["Host"] = server.address
+        headers.update(attempt_headers(attempt, self._clock.unix() + remaining_s))
+        return HttpRequest(call.method, call.path, headers, call.body)
+
+    def _on_ended(
+        self,
+        server: BackendServer,
+        attempt: Attempt,
+        exchange: BackendExchange,
+        ended: bool,
+    ) -> None:
+        remaining_s = attempt.deadline_at - self._clock.monotonic()
+        if ended or remaining_s <= 0:
+            exchange.end()
+            return
+        # The backend server may go on with a request whose connection broke. It
+        # stops when it is told to, or at the deadline that it was given.
+        self._timer.after(remaining_s, exchange.end)
+        self._cancel(server, attempt, exchange)
+
+    def _cancel(
+        self,
+        server: BackendServer,
+        attempt: Attempt,
+        exchange: BackendExchange | None,
+    ) -> None:
         cancellation = PooledExchange(
-            HttpRequest("DELETE", ATTEMPTS_PATH + attempt.id, {}),
+            HttpRequest("DELETE", ATTEMPTS_PATH + attempt.id, {"Host": server.address}),
             self._clock.monotonic() + CANCEL_TIMEOUT_S,
-            MAX_ANSWER_BYTES,
+            MAX_SMALL_ANSWER_BYTES,
             decode=lambda answer: Answer(answer.status),
-            on_cancel=lambda: None,
         )
+        if exchange is not None:
+            cancellation.answer.add_done_callback(
+                lambda answer: _end_if_cancelled(exchange, answer)
+            )
         try:
-            self._pool.send(server.address, cancellation, fresh=False)
+            self._pool.send(server.address, cancellation, fresh=exchange is not None)
         except TaskPoolFullError:
             return
 
 
+def _end_if_cancelled(exchange: BackendExchange, answer: "Future[Answer]") -> None:
+    if answer.exception() is None and answer.result().status in CANCELLED_STATUSES:
+        exchange.end()
+
+
 def _decode(received: HttpAnswer, attempt: Attempt, server: BackendServer) -> Answer:
-    headers = received.headers
-    if headers.get(ATTEMPT_HEADER) != attempt.id:
+    echoed = received.header(ATTEMPT_HEADER)
+    if echoed != attempt.id:
         raise AnswerMismatchError(
-            f"answer to attempt {headers.get(ATTEMPT_HEADER)!r}, not {attempt.id!r}",
+            f"answer to attempt {echoed!r}, not {attempt.id!r}",
             step="backend.answer",
             peer=server.id,
         )
-    if headers.get(OUTCOME_HEADER) == NOT_RUN:
+    if received.header(OUTCOME_HEADER) == NOT_RUN:
         raise RefusedError(
             f"refused with status {received.status}",
             step="backend.answer",
@@ -140,22 +212,25 @@
         )
     return Answer(
         received.status,
-        forwardable(headers.items()),
+        forwardable(received.headers),
         received.body,
+        stream=received.stream,
+        length=received.length,
         peer=server.id,
-        report=read_load_report(dict(headers)),
+        report=read_load_report(received.header(LOAD_HEADER)),
     )
 
 
 def make_backends(kernel: Kernel, limits: LimitSettings) -> Backends:
     """Return the connections to backend servers."""
     clock = kernel.find(ServiceName.CLOCK, Clock)
+    timer = kernel.find(ServiceName.TIMER, Timer)
     pool = make_connection_pool(
         "backend",
         TaskKind.BACKEND_CONNECTION,
         limits.idle_connection_s,
         clock,
         kernel.find(ServiceName.TASKS, Tasks),
-        kernel.find(ServiceName.TIMER, Timer),
+        timer,
     )
-    return BackendClient(pool, clock)
+    return BackendClient(pool, clock, timer)
--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -1,27 +1,40 @@
 """Pools of HTTP connections, each served by a task of its own."""
 
 import http.client
+import itertools
+import select
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import Future
 from queue import Empty, SimpleQueue
 
 from attrs import define, field, frozen
+from loguru import logger
 
-from dotterelpier.clients.http_connection import open_connection
+from dotterelpier.clients.body_stream import BodyStream
+from dotterelpier.clients.http_connection import (
+    StrictResponse,
+    clean_headers,
+    open_connection,
+)
 from dotterelpier.errors import (
     AnswerLostError,
     AnswerTimeoutError,
     CallError,
     ConnectFailedError,
+    InvalidCallError,
+    OverloadedError,
+    RefusedError,
 )
-from dotterelpier.model.call import Answer
+from dotterelpier.model.call import Answer, Headers
 from dotterelpier.protocols import Clock, TaskKind, Tasks, Timer
 
 CONNECT_TIMEOUT_S = 1.0
 JUST_PROVED_S = 1.0
 OVERDUE_CHECK_S = 0.5
+PIECE_BYTES = 64 << 10
+METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
 @frozen
@@ -36,28 +49,69 @@
 
 @frozen
 class HttpAnswer:
-    """An answer as it came over a connection, whole."""
+    """An answer as it came over a connection.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : Headers
+        All headers, in the order received.
+    body : bytes
+        Whole body, empty if it is streamed.
+    stream : BodyStream or None
+        Body of a large answer.
+    length : int or None
+        Declared length of the body in bytes, if it was declared.
+    """
 
     status: int
-    headers: http.client.HTTPMessage
-    body: bytes = field(repr=False)
+    headers: Headers
+    body: bytes = field(default=b"", repr=False)
+    stream: BodyStream | None = None
+    length: int | None = None
+
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header."""
+        wanted = name.lower()
+        values = (value for key, value in self.headers if key.lower() == wanted)
+        return next(values, None)
 
 
 @define(eq=False)
 class PooledExchange:
-    """One request on its way, with the future of its answer."""
+    """One request on its way.
+
+    Attributes
+    ----------
+    request : HttpRequest
+        What is sent.
+    deadline_at : float
+        When the exchange is broken off, on the monotonic clock.
+    whole_answer_bytes : int
+        Larger answers are streamed.
+    decode : Callable
+        Turns what came into the answer, or raises ``CallError``.
+    answer : Future of Answer
+        Fails with a ``CallError``.
+    ended : Future of bool
+        True once the answer came to its end or nothing was sent, False once
+        the connection was lost in between.
+    """
 
     request: HttpRequest
     deadline_at: float
-    max_answer_bytes: int
+    whole_answer_bytes: int
     decode: Callable[[HttpAnswer], Answer]
-    on_cancel: Callable[[], None]
     answer: "Future[Answer]" = field(factory=Future)
+    ended: "Future[bool]" = field(factory=Future)
 
-    def cancel(self) -> None:
-        """Ask the other side to stop; the future ends all the same."""
+    def fail(self, error: CallError, *, ended: bool) -> None:
+        """End the exchange with an error, unless it has an answer."""
+        if not self.ended.done():
+            self.ended.set_result(ended)
         if not self.answer.done():
-            self.on_cancel()
+            self.answer.set_exception(error)
 
 
 @define(eq=False)
@@ -68,8 +122,10 @@
     _pool: "ConnectionPool"
     _exchanges: "SimpleQueue[PooledExchange | None]" = field(factory=SimpleQueue)
     _connection: http.client.HTTPConnection | None = None
+    _socket: socket.socket | None = None
+    _current: PooledExchange | None = None
+    _lock: threading.Lock = field(factory=threading.Lock)
     proved_at: float = float("-inf")
-    deadline_at: float = float("inf")
 
     def put(self, exchange: PooledExchange | None) -> None:
         """Give the task an exchange, or None to end it."""
@@ -84,13 +140,29 @@
         finally:
             self._pool.forget(self)
             self._close()
+            self._refuse_queued()
 
     def abort(self) -> None:
         """Break the connection, so that its task stops waiting for an answer."""
-        connection = self._connection
-        if connection is not None and connection.sock is not None:
+        with self._lock:
+            self._shut_down()
+
+    def abort_exchange(self, exchange: PooledExchange) -> None:
+        """Break the connection if it still performs this exchange."""
+        with self._lock:
+            if self._current is exchange:
+                self._shut_down()
+
+    def abort_overdue(self, now: float) -> None:
+        """Break the connection if its exchange is past its deadline."""
+        with self._lock:
+            if self._current is not None and self._current.deadline_at < now:
+                self._shut_down()
+
+    def _shut_down(self) -> None:
+        if self._socket is not None:
             try:
-                connection.sock.shutdown(socket.SHUT_RDWR)
+                self._socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
 
@@ -102,43 +174,44 @@
                 return None
             return self._exchanges.get()
 
+    def _refuse_queued(self) -> None:
+        while not self._exchanges.empty():
+            exchange = self._exchanges.get()
+            if exchange is not None:
+                error = self._error(ConnectFailedError, "the connection was closed")
+                exchange.fail(error, ended=True)
+
     def _perform(self, exchange: PooledExchange) -> bool:
-        self.deadline_at = exchange.deadline_at
+        """Perform an exchange; return whether the connection can take another."""
+        self._set_current(exchange)
         try:
-            received, reusable = self._round_trip(exchange)
-            answer = exchange.decode(received)
+            self._connect(exchange)
+            self._put_head(exchange.request)
         except CallError as error:
-            exchange.answer.set_exception(error)
+            self._set_current(None)
+            exchange.fail(error, ended=True)
             return False
-        finally:
-            self.deadline_at = float("inf")
-        if reusable:
-            self._pool.give_back(self)
-        exchange.answer.set_result(answer)
-        return reusable
-
-    def _round_trip(self, exchange: PooledExchange) -> tuple[HttpAnswer, bool]:
-        connection = self._connected(exchange)
-        request = exchange.request
         try:
-            connection.request(
-                request.method, request.target, request.body or None, request.headers
-            )
-            self._limit_wait(connection, exchange)
-            response = connection.getresponse()
-            body = self._read_body(connection, response, exchange)
-        except TimeoutError:
-            raise self._error(AnswerTimeoutError, "no answer in time") from None
-        except (OSError, http.client.HTTPException) as error:
-            raise self._error(AnswerLostError, repr(error)) from None
-        self.proved_at = self._pool.clock.monotonic()
-        answer = HttpAnswer(response.status, response.headers, body)
-        return answer, not response.will_close
+            return self._send_and_receive(exchange)
+        except CallError as error:
+            self._set_current(None)
+            exchange.fail(error, ended=False)
+        except Exception as error:
+            logger.exception("exchange failed", peer=self.address)
+            self._set_current(None)
+            exchange.fail(self._error(AnswerLostError, repr(error)), ended=False)
+        return False
+
+    def _set_current(self, exchange: PooledExchange | None) -> None:
+        with self._lock:
+            self._current = exchange
 
-    def _connected(self, exchange: PooledExchange) -> http.client.HTTPConnection:
+    def _connect(self, exchange: PooledExchange) -> None:
         remaining_s = exchange.deadline_at - self._pool.clock.monotonic()
         if remaining_s <= 0:
-            raise self._error(ConnectFailedError, "deadline passed before sending")
+            raise self._error(OverloadedError, "the deadline passed before sending")
+        if self._connection is not None and not self._is_quiet():
+            self._close()
         if self._connection is None:
             try:
                 self._connection = open_connection(
@@ -146,40 +219,142 @@
                 )
             except OSError as error:
                 raise self._error(ConnectFailedError, repr(error)) from None
-        self._limit_wait(self._connection, exchange)
-        return self._connection
+            with self._lock:
+                self._socket = self._connection.sock
+
+    def _is_quiet(self) -> bool:
+        """Tell whether the other side neither closed nor sent anything unasked."""
+        if self._socket is None or self._socket.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return not poll.poll(0)
+
+    def _put_head(self, request: HttpRequest) -> None:
+        """Prepare the head; ``http.client`` sends nothing of it yet."""
+        assert self._connection is not None
+        try:
+            self._connection.putrequest(request.method, request.target, skip_host=True)
+            for name, value in request.headers.items():
+                self._connection.putheader(name, value)
+            if request.body or request.method in METHODS_WITH_BODY:
+                self._connection.putheader("Content-Length", str(len(request.body)))
+        except (ValueError, http.client.HTTPException) as error:
+            raise self._error(InvalidCallError, repr(error)) from None
+
+    def _send_and_receive(self, exchange: PooledExchange) -> bool:
+        response: StrictResponse | None = None
+        try:
+            response = self._send(exchange)
+            return self._receive(response, exchange)
+        except (OSError, http.client.HTTPException) as error:
+            raise self._convert(exchange, error) from None
+        finally:
+            if response is not None:
+                response.reader.release()
+
+    def _send(self, exchange: PooledExchange) -> StrictResponse:
+        assert self._connection is not None
+        self._limit_wait(exchange)
+        self._connection.endheaders(exchange.request.body or None)
+        self._limit_wait(exchange)
+        response = self._connection.getresponse()
+        assert isinstance(response, StrictResponse)
+        return response
+
+    def _receive(self, response: StrictResponse, exchange: PooledExchange) -> bool:
+        pieces = self._pieces(response, exchange)
+        start = _collect(pieces, exchange.whole_answer_bytes)
+        if sum(map(len, start)) > exchange.whole_answer_bytes:
+            return self._stream(response, exchange, itertools.chain(start, pieces))
+        answer = _http_answer(response, b"".join(start))
+        reusable = self._check_end(response)
+        try:
+            decoded = exchange.decode(answer)
+        except RefusedError as error:
+            self._release(reusable)
+            exchange.fail(error, ended=True)
+            return reusable
+        self._release(reusable)
+        exchange.ended.set_result(True)
+        exchange.answer.set_result(decoded)
+        return reusable
 
-    def _read_body(
+    def _stream(
         self,
-        connection: http.client.HTTPConnection,
-        response: http.client.HTTPResponse,
+        response: StrictResponse,
         exchange: PooledExchange,
-    ) -> bytes:
+        pieces: Iterator[bytes],
+    ) -> bool:
+        stream = BodyStream(
+            exchange.deadline_at,
+            self.address,
+            self._pool.clock,
+            lambda: self.abort_exchange(exchange),
+        )
+        answer = exchange.decode(_http_answer(response, b"", stream))
+        exchange.answer.set_result(answer)
+        try:
+            self._pass_on(pieces, stream)
+            reusable = self._check_end(response)
+        except (OSError, http.client.HTTPException, CallError) as error:
+            converted = self._convert(exchange, error)
+            stream.put(converted)
+            raise converted from None
+        stream.put(None)
+        self._release(reusable)
+        exchange.ended.set_result(True)
+        return reusable
+
+    def _pass_on(self, pieces: Iterator[bytes], stream: BodyStream) -> None:
+        for piece in pieces:
+            if not stream.put(piece):
+                raise self._error(AnswerLostError, "the body was not read")
+
+    def _pieces(
+        self, response: StrictResponse, exchange: PooledExchange
+    ) -> Iterator[bytes]:
         expected = response.length
-        pieces: list[bytes] = []
-        size = 0
-        while piece := response.read1(exchange.max_answer_bytes + 1 - size):
-            pieces.append(piece)
-            size += len(piece)
-            if size > exchange.max_answer_bytes:
-                raise self._error(AnswerLostError, "answer is larger than allowed")
-            self._limit_wait(connection, exchange)
-        if expected is not None and size != expected:
-            message = f"answer ended after {size} of {expected} bytes"
+        received = 0
+        while piece := response.read1(PIECE_BYTES):
+            received += len(piece)
+            yield piece
+            self._limit_wait(exchange)
+        if expected is not None and received != expected:
+            message = f"answer ended after {received} of {expected} bytes"
             raise self._error(AnswerLostError, message)
-        # read1() leaves a response of known length open, which blocks the next one.
+
+    def _check_end(self, response: StrictResponse) -> bool:
+        """Check that nothing follows; return whether the connection stays open."""
+        assert self._socket is not None
         response.close()
-        return b"".join(pieces)
+        self._socket.setblocking(False)
+        if response.reader.peek():
+            raise self._error(AnswerLostError, "more bytes came than declared")
+        self.proved_at = self._pool.clock.monotonic()
+        return not response.will_close
 
-    def _limit_wait(
-        self, connection: http.client.HTTPConnection, exchange: PooledExchange
-    ) -> None:
-        if connection.sock is None:
-            return
+    def _release(self, reusable: bool) -> None:
+        self._set_current(None)
+        if reusable:
+            self._pool.give_back(self)
+
+    def _limit_wait(self, exchange: PooledExchange) -> None:
+        assert self._socket is not None
         remaining_s = exchange.deadline_at - self._pool.clock.monotonic()
         if remaining_s <= 0:
             raise TimeoutError
-        connection.sock.settimeout(remaining_s)
+        self._socket.settimeout(remaining_s)
+
+    def _convert(self, exchange: PooledExchange, error: Exception) -> CallError:
+        if isinstance(error, CallError):
+            return error
+        if self._pool.clock.monotonic() >= exchange.deadline_at:
+            return self._error(AnswerTimeoutError, "no whole answer in time")
+        if isinstance(error, TimeoutError):
+            # The path is gone, and with it that of the other connections.
+            self._pool.drop(self.address)
+        return self._error(AnswerLostError, repr(error))
 
     def _error(self, kind: type[CallError], message: str) -> CallError:
         return kind(message, step=self._pool.step, peer=self.address)
@@ -190,6 +365,24 @@
             self._connection = None
 
 
+def _collect(pieces: Iterator[bytes], limit_bytes: int) -> list[bytes]:
+    """Take pieces until they end or exceed the limit."""
+    collected: list[bytes] = []
+    size = 0
+    while size <= limit_bytes and (piece := next(pieces, b"")):
+        collected.append(piece)
+        size += len(piece)
+    return collected
+
+
+def _http_answer(
+    response: StrictResponse, body: bytes, stream: BodyStream | None = None
+) -> HttpAnswer:
+    headers = clean_headers(response.headers)
+    length = response.declared_length()
+    return HttpAnswer(response.status, headers, body, stream, length)
+
+
 @define(eq=False)
 class ConnectionPool:
     """Connections by address; the one used last is used first."""
@@ -225,16 +418,16 @@
         TaskPoolFullError
             If no more connections may be opened; nothing was sent.
         """
-        connection = self._take_idle(address, fresh)
-        if connection is None:
-            connection = PooledConnection(address, self)
-            with self._lock:
-                self._connections.add(connection)
-            try:
-                self._tasks.submit(self.kind, connection.serve)
-            except Exception:
-                self.forget(connection)
-                raise
+        if self._give_to_idle(address, exchange, fresh):
+            return
+        connection = PooledConnection(address, self)
+        with self._lock:
+            self._connections.add(connection)
+        try:
+            self._tasks.submit(self.kind, connection.serve)
+        except Exception:
+            self.forget(connection)
+            raise
         connection.put(exchange)
 
     def drop(self, address: str) -> None:
@@ -252,26 +445,31 @@
     def withdraw(self, connection: PooledConnection) -> bool:
         """Take an idle connection out; return False if an exchange is coming."""
         with self._lock:
-            idle = self._idle_by_address.get(connection.address, [])
-            if connection not in idle:
-                return False
-            idle.remove(connection)
-            return True
+            return self._remove_idle(connection)
 
     def forget(self, connection: PooledConnection) -> None:
-        """Forget a connection that ended."""
+        """Forget a connection that ended; it is given no more exchanges."""
         with self._lock:
+            self._remove_idle(connection)
             self._connections.discard(connection)
 
-    def _take_idle(self, address: str, fresh: bool) -> PooledConnection | None:
+    def _remove_idle(self, connection: PooledConnection) -> bool:
+        idle = self._idle_by_address.get(connection.address, [])
+        if connection not in idle:
+            return False
+        idle.remove(connection)
+        return True
+
+    def _give_to_idle(
+        self, address: str, exchange: PooledExchange, fresh: bool
+    ) -> bool:
         proved_after = self.clock.monotonic() - JUST_PROVED_S
         with self._lock:
             idle = self._idle_by_address.get(address)
-            if not idle:
-                return None
-            if fresh and idle[-1].proved_at < proved_after:
-                return None
-            return idle.pop()
+            if not idle or (fresh and idle[-1].proved_at < proved_after):
+                return False
+            idle.pop().put(exchange)
+            return True
 
     def _abort_overdue(self) -> None:
         subscription = self._timer.every(OVERDUE_CHECK_S)
@@ -280,8 +478,7 @@
             with self._lock:
                 connections = tuple(self._connections)
             for connection in connections:
-                if connection.deadline_at < now:
-                    connection.abort()
+                connection.abort_overdue(now)
 
 
 def make_connection_pool(
--- a/dotterelpier/clients/relays.py
+++ b/dotterelpier/clients/relays.py
@@ -11,12 +11,13 @@
     PooledExchange,
     make_connection_pool,
 )
-from dotterelpier.errors import AnswerLostError, RefusedError
+from dotterelpier.errors import AnswerLostError, AnswerMismatchError, RefusedError
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.call import Answer, Call, Outcome
+from dotterelpier.model.call import Answer, Attempt, Outcome
 from dotterelpier.model.membership import Member
 from dotterelpier.protocols import (
     Clock,
+    Exchange,
     Relays,
     ServiceName,
     TaskKind,
@@ -28,6 +29,8 @@
     ATTEMPT_HEADER,
     KEY_HEADER,
     LOAD_HEADER,
+    ONCE,
+    ONCE_HEADER,
     OUTCOME_HEADER,
     RELAY_HEADER,
     RESERVATION_HEADER,
@@ -36,7 +39,24 @@
     read_service_load,
 )
 
-MAX_ANSWER_BYTES = 16 << 20
+
+@define(eq=False)
+class RelayExchange:
+    """A relayed call on its way.
+
+    Attributes
+    ----------
+    answer : Future of Answer
+        Fails with a ``CallError``.
+    ended : Future of bool
+        Done once nothing more comes over the connection.
+    """
+
+    answer: "Future[Answer]"
+    ended: "Future[bool]"
+
+    def cancel(self) -> None:
+        """Do nothing; the other entry ends the call at its deadline."""
 
 
 @define
@@ -55,36 +75,41 @@
         """Close all connections."""
         self._pool.stop()
 
-    def relay(self, member: Member, call: Call) -> "Future[Answer]":
-        """Relay a call; the future fails with a ``CallError``."""
+    def relay(self, member: Member, attempt: Attempt) -> Exchange:
+        """Relay a call; the answer fails with a ``CallError``."""
+        pooled = PooledExchange(
+            self._request(member, attempt),
+            attempt.deadline_at,
+            attempt.whole_answer_bytes,
+            decode=lambda answer: _decode(answer, attempt, member),
+        )
+        self._pool.send(member.relay_address, pooled, fresh=attempt.fresh_connection)
+        return RelayExchange(pooled.answer, pooled.ended)
+
+    def _request(self, member: Member, attempt: Attempt) -> HttpRequest:
+        call = attempt.call
         headers = dict(call.headers)
         headers["Host"] = member.relay_address
         headers[RELAY_HEADER] = self._own_id
-        headers[ATTEMPT_HEADER] = call.id
-        remaining_s = call.deadline_at - self._clock.monotonic()
+        headers[ATTEMPT_HEADER] = attempt.id
+        remaining_s = attempt.deadline_at - self._clock.monotonic()
         headers[TIMEOUT_HEADER] = f"{max(remaining_s, 0.0):.4f}"
         if call.idempotency_key:
             headers[KEY_HEADER] = call.idempotency_key
         if call.reservation:
             headers[RESERVATION_HEADER] = call.reservation
-        exchange = PooledExchange(
-            HttpRequest(call.method, f"/{call.service}{call.path}", headers, call.body),
-            call.deadline_at,
-            MAX_ANSWER_BYTES,
-            decode=lambda answer: _decode(answer, call, member),
-            on_cancel=lambda: None,
-        )
-        self._pool.send(member.relay_address, exchange, fresh=False)
-        return exchange.answer
+        if call.once:
+            headers[ONCE_HEADER] = ONCE
+        target = f"/{call.service}{call.path}"
+        return HttpRequest(call.method, target, headers, call.body)
 
 
-def _decode(received: HttpAnswer, call: Call, member: Member) -> Answer:
-    headers = received.headers
-    load = read_service_load(headers.get(LOAD_HEADER, ""))
-    if headers.get(ATTEMPT_HEADER) != call.id:
-        message = f"answer to call {headers.get(ATTEMPT_HEADER)!r}, not {call.id!r}"
-        raise AnswerLostError(message, step="relay.answer", peer=member.id)
-    outcome = headers.get(OUTCOME_HEADER)
+def _decode(received: HttpAnswer, attempt: Attempt, member: Member) -> Answer:
+    echoed = received.header(ATTEMPT_HEADER)
+    if echoed != attempt.id:
+        message = f"answer to attempt {echoed!r}, not {attempt.id!r}"
+        raise AnswerMismatchError(message, step="relay.answer", peer=member.id)
+    outcome = received.header(OUTCOME_HEADER)
     if outcome == Outcome.NOT_RUN:
         message = f"relay refused with status {received.status}"
         raise RefusedError(message, step="relay.answer", peer=member.id)
@@ -92,10 +117,12 @@
         raise AnswerLostError("outcome unknown", step="relay.answer", peer=member.id)
     return Answer(
         received.status,
-        forwardable(headers.items()),
+        forwardable(received.headers),
         received.body,
+        stream=received.stream,
+        length=received.length,
         peer=member.id,
-        peer_load=load,
+        peer_load=read_service_load(received.header(LOAD_HEADER)),
     )
 
 
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs, unquote
 
 from attrs import define
+from loguru import logger
 
 from dotterelpier.errors import (
     CallError,
@@ -36,6 +37,8 @@
     ATTEMPT_HEADER,
     KEY_HEADER,
     LOAD_HEADER,
+    ONCE,
+    ONCE_HEADER,
     OUTCOME_HEADER,
     RELAY_HEADER,
     RESERVATION_HEADER,
@@ -54,6 +57,7 @@
 ENTRIES_PATH = "/v1/entries"
 MAX_KEY_LENGTH = 255
 MAX_PATH_LENGTH = 8192
+STATUSES_WITHOUT_LENGTH = frozenset({204, 304})
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -85,6 +89,9 @@
             answer = self._calls.serve(call)
         except DotterelpierError as error:
             answer = _problem(error)
+        except Exception as error:
+            logger.exception("call failed", call=call_id)
+            answer = _problem(DotterelpierError(repr(error), step="callers"))
         self._count(service, answer, started_at)
         return self._encode(environ, call_id, service, answer, start_response)
 
@@ -123,6 +130,7 @@
             self._idempotency_key(environ),
             environ.get(_variable(RELAY_HEADER), "") if self._relayed else "",
             environ.get(_variable(RESERVATION_HEADER), "") if self._relayed else "",
+            self._relayed and environ.get(_variable(ONCE_HEADER)) == ONCE,
         )
 
     def _timeout_s(self, environ: Environ, service_name: str) -> float:
@@ -179,16 +187,25 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         headers = list(answer.headers)
-        if answer.stream is None:
-            headers.append(("Content-Length", str(len(answer.body))))
+        length = _content_length(environ["REQUEST_METHOD"], answer)
+        if length is not None:
+            headers.append(("Content-Length", str(length)))
         headers.append((OUTCOME_HEADER, answer.outcome.value))
         if self._relayed:
             headers.append((ATTEMPT_HEADER, call_id))
             load = self._admission.load_by_service().get(service)
             if load is not None:
                 headers.append((LOAD_HEADER, service_load_text(load)))
-        start_response(status_line(answer.status), headers)
-        return [answer.body] if answer.stream is None else answer.stream
+        try:
+            start_response(status_line(answer.status), headers)
+        except Exception:
+            if answer.stream is not None:
+                answer.stream.close()
+            raise
+        if answer.stream is not None:
+            return answer.stream
+        # The server would send a body after the head of an answer to HEAD.
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [answer.body]
 
     def _count(self, service: str, answer: Answer, started_at: float) -> None:
         if not service:
@@ -217,6 +234,14 @@
     return InvalidCallError(message, step="callers.decode")
 
 
+def _content_length(method: str, answer: Answer) -> int | None:
+    if answer.status in STATUSES_WITHOUT_LENGTH:
+        return None
+    if answer.stream is not None or (method == "HEAD" and not answer.body):
+        return answer.length
+    return len(answer.body)
+
+
 def _problem(error: DotterelpierError) -> Answer:
     outcome = problem_outcome(error)
     if not isinstance(error, CallError):
--- a/dotterelpier/model/call.py
+++ b/dotterelpier/model/call.py
@@ -1,7 +1,7 @@
 """Calls, attempts and answers."""
 
-from collections.abc import Iterator
 from enum import Enum
+from typing import Protocol
 
 from attrs import field, frozen
 
@@ -19,6 +19,22 @@
     UNKNOWN = "unknown"
 
 
+class Body(Protocol):
+    """Body of a large answer; iterating fails with a ``CallError`` where it breaks."""
+
+    def __iter__(self) -> "Body":
+        """Return itself."""
+        ...
+
+    def __next__(self) -> bytes:
+        """Return the next piece."""
+        ...
+
+    def close(self) -> None:
+        """Stop reading."""
+        ...
+
+
 @frozen
 class Call:
     """A request of a caller.
@@ -45,6 +61,8 @@
         Id of the entry that relayed the call, empty if it came from a caller.
     reservation : str
         Token of a slot that this entry reserved for the call, empty if none.
+    once : bool
+        Whether the entry that relayed the call holds it to be non-idempotent.
     """
 
     id: str
@@ -57,6 +75,7 @@
     idempotency_key: str = ""
     relayed_by: str = ""
     reservation: str = ""
+    once: bool = False
 
 
 @frozen
@@ -71,8 +90,10 @@
         End-to-end headers.
     body : bytes
         Whole body, empty if the answer is streamed.
-    stream : Iterator of bytes or None
+    stream : Body or None
         Body of a large answer, in pieces.
+    length : int or None
+        Declared length of the body in bytes, if it was declared.
     outcome : Outcome
         What the caller is told.
     peer : str
@@ -86,7 +107,8 @@
     status: int
     headers: Headers = ()
     body: bytes = field(default=b"", repr=False)
-    stream: Iterator[bytes] | None = field(default=None, eq=False, repr=False)
+    stream: Body | None = field(default=None, eq=False, repr=False)
+    length: int | None = None
     outcome: Outcome = Outcome.ANSWERED
     peer: str = ""
     report: LoadReport | None = None
@@ -95,7 +117,7 @@
 
 @frozen
 class Attempt:
-    """One sending of a call to one backend server.
+    """One sending of a call to one backend server or entry.
 
     Attributes
     ----------
@@ -107,10 +129,13 @@
         Deadline on the monotonic clock, in seconds; never later than that of
         the call nor, where the lease must hold, than the end of the lease.
     fresh_connection : bool
-        Whether the attempt may only use a connection not used before.
+        Whether the attempt may only use a connection that is new or just proved.
+    whole_answer_bytes : int
+        Larger answers are streamed.
     """
 
     id: str
     call: Call
     deadline_at: float
     fresh_connection: bool = False
+    whole_answer_bytes: int = 256 << 10
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -411,8 +411,13 @@
         """Future of the answer; fails with a ``CallError``."""
         ...
 
+    @property
+    def ended(self) -> "Future[Any]":
+        """Future that is done once the other side no longer works on the attempt."""
+        ...
+
     def cancel(self) -> None:
-        """Ask the backend server to stop; the future ends all the same."""
+        """Ask the other side to stop; the futures end all the same."""
         ...
 
 
@@ -447,8 +452,14 @@
 class Relays(Protocol):
     """Connections to other entries that take relayed calls."""
 
-    def relay(self, member: Member, call: Call) -> "Future[Answer]":
-        """Relay a call; the future fails with a ``CallError``."""
+    def relay(self, member: Member, attempt: Attempt) -> Exchange:
+        """Relay a call; the answer fails with a ``CallError``.
+
+        Raises
+        ------
+        TaskPoolFullError
+            If no more connections may be opened; nothing was sent.
+        """
         ...
 
 
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -2,15 +2,17 @@
 
 import threading
 import uuid
-from collections.abc import Iterator
-from concurrent.futures import CancelledError
+from collections.abc import Mapping, Sequence
+from concurrent.futures import FIRST_COMPLETED, CancelledError, Future, wait
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from contextlib import contextmanager
+from functools import partial
 
 from attrs import define, evolve, field
 
+from dotterelpier.call_budget import CallBudget
 from dotterelpier.errors import (
     AnswerLostError,
+    AnswerMismatchError,
     AnswerTimeoutError,
     CallError,
     ConnectFailedError,
@@ -35,6 +37,7 @@
     Claims,
     Clock,
     Evidence,
+    Exchange,
     Homes,
     ManifestKeeper,
     Membership,
@@ -43,21 +46,56 @@
     Routing,
     ServiceName,
 )
+from dotterelpier.resumed_body import make_resumed_body
 
 MAX_RELAYS = 2
 MAX_ATTEMPTS = 3
 
-RESULT_BY_ERROR: dict[type[CallError], ExchangeResult] = {
+RESULT_BY_ERROR: Mapping[type[BaseException], ExchangeResult] = {
     RefusedError: ExchangeResult.SHED,
     ConnectFailedError: ExchangeResult.CONNECT_FAILED,
     AnswerLostError: ExchangeResult.RESET,
+    AnswerMismatchError: ExchangeResult.RESET,
     AnswerTimeoutError: ExchangeResult.TIMEOUT,
 }
+NOT_RETRIED = (OverloadedError, InvalidCallError)
+
+
+@define(eq=False)
+class _Pending:
+    """An attempt on its way to a backend server or to another entry."""
+
+    peer_id: str
+    exchange: Exchange
+    started_at: float
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Give the attempt up; an answer that comes all the same is dropped."""
+        self.cancelled = True
+        self.exchange.cancel()
+        self.exchange.answer.add_done_callback(_drop_stream)
+
+    def error(self) -> CallError | None:
+        """Return how the attempt failed, None if it was answered."""
+        error = self.exchange.answer.exception()
+        if error is None or isinstance(error, CallError):
+            if error is not None:
+                error.peer = self.peer_id
+            return error
+        return AnswerLostError(repr(error), step="calls.answer", peer=self.peer_id)
+
+
+def _drop_stream(answer: "Future[Answer]") -> None:
+    if answer.exception() is None:
+        stream = answer.result().stream
+        if stream is not None:
+            stream.close()
 
 
 @define
 class StraightCalls:
-    """Claims, waits for a slot, sends, retries and answers."""
+    """Claims, waits for a slot, sends, hedges, retries and answers."""
 
     _clock: Clock
     _manifest: ManifestKeeper
@@ -71,22 +109,34 @@
     _claims: Claims
     _metrics: Metrics
     _in_flight: int = 0
+    _budget_by_service: dict[str, CallBudget] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def in_flight(self) -> int:
-        """Return the number of calls being served."""
+        """Return the number of calls being served, streams included."""
         return self._in_flight
 
     def serve(self, call: Call) -> Answer:
         """Return the answer to a call."""
         service = self._find_service(call)
-        with self._counted():
-            if not self._membership.may_take_work():
-                raise CutOffError("entry is cut off", step="calls.serve")
-            once = service.is_non_idempotent(call.method, call.path)
-            if not once or not call.idempotency_key or call.relayed_by:
-                return self._run(call, once)
-            return self._run_claimed(call)
+        once = call.once or service.is_non_idempotent(call.method, call.path)
+        call = evolve(call, once=once)
+        self._count_in_flight(1)
+        try:
+            answer = self._serve(call, service)
+        except BaseException:
+            self._count_in_flight(-1)
+            raise
+        if answer.stream is None:
+            self._count_in_flight(-1)
+            return answer
+        body = make_resumed_body(
+            call,
+            answer,
+            partial(self._run, service=service),
+            partial(self._count_in_flight, -1),
+        )
+        return evolve(answer, stream=body)
 
     def _find_service(self, call: Call) -> Service:
         revision = self._manifest.current()
@@ -105,22 +155,23 @@
             )
         return service
 
-    @contextmanager
-    def _counted(self) -> Iterator[None]:
+    def _count_in_flight(self, change: int) -> None:
         with self._lock:
-            self._in_flight += 1
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._in_flight -= 1
+            self._in_flight += change
+
+    def _serve(self, call: Call, service: Service) -> Answer:
+        if not self._membership.may_take_work():
+            raise CutOffError("entry is cut off", step="calls.serve")
+        if call.once and call.idempotency_key and not call.relayed_by:
+            return self._run_claimed(call, service)
+        return self._run(call, service)
 
-    def _run_claimed(self, call: Call) -> Answer:
+    def _run_claimed(self, call: Call, service: Service) -> Answer:
         recorded = self._claims.claim(call)
         if recorded is not None:
             return recorded
         try:
-            answer = self._run(call, once=True)
+            answer = self._run(call, service)
         except CallError as error:
             if not error.ran:
                 self._claims.settle(call, None)
@@ -128,39 +179,52 @@
         self._claims.settle(call, answer)
         return answer
 
-    def _run(self, call: Call, once: bool) -> Answer:
+    def _run(self, call: Call, service: Service) -> Answer:
+        """Make attempts until one is answered.
+
+        Once an attempt may have run, no later failure makes the call "not run".
+        """
+        self._budget(service).retries.deposit(service.retry_share)
         excluded: frozenset[str] = frozenset()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        may_have_run: CallError | None = None
+        for _ in range(MAX_ATTEMPTS):
             try:
-                return self._run_once(call, once, excluded)
+                return self._run_once(call, service, excluded)
             except CallError as error:
-                if attempt == MAX_ATTEMPTS or not self._may_retry(call, error, once):
-                    raise
-                excluded |= {error.peer}
-        raise OverloadedError("no attempt was made", step="calls.run")
+                failed = error
+            if failed.ran:
+                may_have_run = failed
+            if not self._may_retry(call, service, failed):
+                break
+            excluded |= {failed.peer}
+        raise may_have_run or failed
 
-    def _may_retry(self, call: Call, error: CallError, once: bool) -> bool:
-        if self._clock.monotonic() >= call.deadline_at:
+    def _may_retry(self, call: Call, service: Service, error: CallError) -> bool:
+        if self._clock.monotonic() >= call.deadline_at or call.relayed_by:
             return False
-        if isinstance(error, OverloadedError):
+        if isinstance(error, NOT_RETRIED) or (error.ran and call.once):
             return False
-        return not error.ran or not once
+        if not self._budget(service).retries.take():
+            return False
+        self._metrics.count("retries", service=service.name)
+        return True
 
-    def _run_once(self, call: Call, once: bool, excluded: frozenset[str]) -> Answer:
+    def _run_once(
+        self, call: Call, service: Service, excluded: frozenset[str]
+    ) -> Answer:
         slot = self._redeem(call) or self._admission.try_acquire(
             call.service, excluded, call.deadline_at
         )
-        if slot is not None:
-            return self._send(call, slot, once)
-        if call.relayed_by:
+        if slot is None and call.relayed_by:
             raise OverloadedError("no slot is free here", step="calls.relayed")
-        answer = self._relay_to_free_home(call, excluded)
-        if answer is not None:
-            return answer
-        slot = self._wait_for_slot(call)
+        if slot is None:
+            answer = self._relay_to_free_home(call, service, excluded)
+            if answer is not None:
+                return answer
+            slot = self._wait_for_slot(call)
         if slot.server is None:
-            return self._relay_reserved(call, slot)
-        return self._send(call, slot, once)
+            return self._relay_reserved(call, service, slot)
+        return self._answer_of(call, service, self._send(call, service, slot))
 
     def _redeem(self, call: Call) -> Slot | None:
         return self._admission.redeem(call.reservation) if call.reservation else None
@@ -179,7 +243,7 @@
             ) from None
 
     def _relay_to_free_home(
-        self, call: Call, excluded: frozenset[str]
+        self, call: Call, service: Service, excluded: frozenset[str]
     ) -> Answer | None:
         tried = excluded
         for _ in range(MAX_RELAYS):
@@ -187,28 +251,32 @@
             if member is None:
                 return None
             try:
-                return self._relay(call, member)
+                pending = self._relay(call, service, member)
+                return self._answer_of(call, service, pending)
             except (RefusedError, ConnectFailedError):
                 tried |= {member.id}
         return None
 
-    def _relay_reserved(self, call: Call, slot: Slot) -> Answer:
+    def _relay_reserved(self, call: Call, service: Service, slot: Slot) -> Answer:
         member = self._membership.live_by_id().get(slot.peer_id)
         if member is None:
             raise RefusedError("the home left", step="calls.relay", peer=slot.peer_id)
-        return self._relay(evolve(call, reservation=slot.reservation), member)
+        reserved = evolve(call, reservation=slot.reservation)
+        pending = self._relay(reserved, service, member)
+        return self._answer_of(call, service, pending)
 
-    def _relay(self, call: Call, member: Member) -> Answer:
+    def _relay(self, call: Call, service: Service, member: Member) -> _Pending:
+        attempt = self._attempt(call, service, call.deadline_at)
+        started_at = self._clock.monotonic()
         try:
-            pending = self._relays.relay(member, call)
+            exchange = self._relays.relay(member, attempt)
         except TaskPoolFullError as error:
             raise OverloadedError(error.message, step="calls.relay") from None
-        answer = pending.result()
-        if answer.peer_load is not None:
-            self._routing.learn(member.id, call.service, answer.peer_load)
-        return answer
+        pending = _Pending(member.id, exchange, started_at)
+        exchange.answer.add_done_callback(partial(self._on_relayed, service, pending))
+        return pending
 
-    def _send(self, call: Call, slot: Slot, once: bool) -> Answer:
+    def _send(self, call: Call, service: Service, slot: Slot) -> _Pending:
         server = slot.server
         assert server is not None
         try:
@@ -217,42 +285,134 @@
                 raise RefusedError(
                     "no longer its home", step="calls.send", peer=server.id
                 )
-            attempt = Attempt(
-                uuid.uuid4().hex, call, min(call.deadline_at, limit), once
-            )
+            attempt = self._attempt(call, service, min(call.deadline_at, limit))
             started_at = self._clock.monotonic()
             exchange = self._backends.send(server, attempt)
         except TaskPoolFullError as error:
             self._admission.release(slot)
             raise OverloadedError(error.message, step="calls.send") from None
-        except CallError:
+        except BaseException:
             self._admission.release(slot)
             raise
+        pending = _Pending(server.id, exchange, started_at)
+        exchange.answer.add_done_callback(
+            partial(self._on_answered, service, slot, pending)
+        )
+        return pending
+
+    def _attempt(self, call: Call, service: Service, deadline_at: float) -> Attempt:
+        return Attempt(
+            uuid.uuid4().hex, call, deadline_at, call.once, service.whole_answer_bytes
+        )
+
+    def _answer_of(self, call: Call, service: Service, first: _Pending) -> Answer:
+        """Wait for an attempt, with a second one elsewhere if it takes long."""
+        if call.once or call.relayed_by:
+            return _first_answer([first])
+        budget = self._budget(service)
+        budget.hedges.deposit(service.hedge_share)
+        hedge_after_s = budget.latencies.quantile_s()
+        if hedge_after_s is None:
+            return _first_answer([first])
+        wait([first.exchange.answer], timeout=hedge_after_s)
+        if first.exchange.answer.done() or not budget.hedges.take():
+            return _first_answer([first])
+        second = self._hedge(call, service, frozenset({first.peer_id}))
+        if second is None:
+            budget.hedges.give_back()
+            return _first_answer([first])
+        self._metrics.count("hedges", service=service.name)
+        return _first_answer([first, second])
+
+    def _hedge(
+        self, call: Call, service: Service, excluded: frozenset[str]
+    ) -> _Pending | None:
+        unreserved = evolve(call, reservation="")
+        slot = self._admission.try_acquire(call.service, excluded, call.deadline_at)
         try:
-            answer = exchange.answer.result()
-        except CallError as error:
-            error.peer = server.id
-            result = RESULT_BY_ERROR.get(type(error), ExchangeResult.RESET)
-            self._observe(server.id, result, started_at, None)
-            raise
+            if slot is not None:
+                return self._send(unreserved, service, slot)
+            member = self._routing.choose_peer(call.service, excluded)
+            return self._relay(unreserved, service, member) if member else None
+        except CallError:
+            return None
+
+    def _on_relayed(
+        self, service: Service, pending: _Pending, future: "Future[Answer]"
+    ) -> None:
+        if future.exception() is not None:
+            return
+        answer = future.result()
+        self._add_latency(service, pending)
+        if answer.peer_load is not None:
+            self._routing.learn(pending.peer_id, service.name, answer.peer_load)
+
+    def _on_answered(
+        self,
+        service: Service,
+        slot: Slot,
+        pending: _Pending,
+        future: "Future[Answer]",
+    ) -> None:
+        error = future.exception()
+        try:
+            if error is None:
+                self._add_latency(service, pending)
+                self._observe(pending, _result(pending), future.result())
+            elif type(error) in RESULT_BY_ERROR:
+                self._observe(pending, RESULT_BY_ERROR[type(error)], None)
         finally:
-            self._admission.release(slot)
-        self._observe(server.id, ExchangeResult.ANSWERED, started_at, answer)
-        return answer
+            pending.exchange.ended.add_done_callback(
+                lambda ended: self._admission.release(slot)
+            )
 
     def _observe(
-        self,
-        backend_id: str,
-        result: ExchangeResult,
-        started_at: float,
-        answer: Answer | None,
+        self, pending: _Pending, result: ExchangeResult, answer: Answer | None
     ) -> None:
         now = self._clock.monotonic()
         report = answer.report if answer is not None else None
         self._evidence.observe(
-            Observation(backend_id, result, now, report, now - started_at)
+            Observation(pending.peer_id, result, now, report, now - pending.started_at)
         )
 
+    def _add_latency(self, service: Service, pending: _Pending) -> None:
+        latency_s = self._clock.monotonic() - pending.started_at
+        self._budget(service).latencies.add(latency_s)
+
+    def _budget(self, service: Service) -> CallBudget:
+        budget = self._budget_by_service.get(service.name)
+        if budget is None:
+            budget = self._budget_by_service.setdefault(service.name, CallBudget())
+        return budget
+
+
+def _result(pending: _Pending) -> ExchangeResult:
+    if pending.cancelled:
+        return ExchangeResult.CANCELLED
+    return ExchangeResult.ANSWERED
+
+
+def _first_answer(pendings: Sequence[_Pending]) -> Answer:
+    """Return the first answer and cancel the other attempts.
+
+    Raises
+    ------
+    CallError
+        If all failed: an error of one that may have run goes before the others.
+    """
+    waiting = {pending.exchange.answer: pending for pending in pendings}
+    errors: list[CallError] = []
+    while waiting:
+        done, _ = wait(waiting, return_when=FIRST_COMPLETED)
+        pending = waiting.pop(done.pop())
+        error = pending.error()
+        if error is None:
+            for loser in waiting.values():
+                loser.cancel()
+            return pending.exchange.answer.result()
+        errors.append(error)
+    raise max(errors, key=lambda error: error.ran)
+
 
 def make_calls(kernel: Kernel) -> Calls:
     """Return the service that serves calls."""
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -48,6 +48,12 @@
     "call_seconds": MetricDeclaration(
         Histogram, "Duration of calls in seconds.", ("service",)
     ),
+    "retries": MetricDeclaration(
+        Counter, "Further attempts after a failed one.", ("service",)
+    ),
+    "hedges": MetricDeclaration(
+        Counter, "Second attempts while the first one takes long.", ("service",)
+    ),
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
--- a/dotterelpier/wire/backend.py
+++ b/dotterelpier/wire/backend.py
@@ -1,6 +1,6 @@
 """Headers exchanged with backend servers and with relaying entries."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from dotterelpier.model.call import Attempt, Headers
 from dotterelpier.model.evidence import LoadReport, Readiness
@@ -10,11 +10,13 @@
 DEADLINE_HEADER = "Dotterelpier-Deadline"
 LOAD_HEADER = "Dotterelpier-Load"
 OUTCOME_HEADER = "Dotterelpier-Outcome"
+ONCE_HEADER = "Dotterelpier-Once"
 RELAY_HEADER = "Dotterelpier-Relayed-By"
 RESERVATION_HEADER = "Dotterelpier-Reservation"
 TIMEOUT_HEADER = "Dotterelpier-Timeout"
 KEY_HEADER = "Idempotency-Key"
 NOT_RUN = "not-run"
+ONCE = "1"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1), and those
 # that this system sets itself.
@@ -27,6 +29,7 @@
         "proxy-connection",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
         "content-length",
@@ -65,9 +68,8 @@
     }
 
 
-def read_load_report(headers: Mapping[str, str]) -> LoadReport | None:
-    """Return the load report of an answer, None if it has none that is valid."""
-    text = headers.get(LOAD_HEADER)
+def read_load_report(text: str | None) -> LoadReport | None:
+    """Return the load report from a header, None if it is missing or not valid."""
     if text is None:
         return None
     value_by_key = _parse_pairs(text)
@@ -86,9 +88,9 @@
     return f"free={load.free_slots};slots={load.slots};waiting={load.waiting}"
 
 
-def read_service_load(text: str) -> ServiceLoad | None:
+def read_service_load(text: str | None) -> ServiceLoad | None:
     """Return the load of a service from a header, None if it is not valid."""
-    value_by_key = _parse_pairs(text)
+    value_by_key = _parse_pairs(text or "")
     try:
         return ServiceLoad(
             int(value_by_key["free"]),
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,134 @@
+"""Connections to backend servers: reuse, and when an attempt has ended."""
+
+import threading
+import time
+
+import pytest
+
+from dotterelpier.errors import (
+    AnswerLostError,
+    ConnectFailedError,
+    InvalidCallError,
+    RefusedError,
+)
+from dotterelpier.model.call import Attempt, Call
+from dotterelpier.model.manifest import BackendServer
+from tests.scripted_server import ScriptedServer, head, whole
+from tests.test_promise_4 import ANSWER_WAIT_S, backends, body_for, right
+
+__all__ = ["backends"]
+
+
+def attempt(path: str = "/x", timeout_s: float = 5.0, **options) -> Attempt:
+    call = Call("call", "catalogue", "GET", path)
+    return Attempt("attempt", call, time.monotonic() + timeout_s, **options)
+
+
+def target(address: str) -> BackendServer:
+    return BackendServer("catalogue-1", "catalogue", address, "tt-north-1")
+
+
+def test_connection_closed_while_idle_is_not_used_again(backends) -> None:
+    def close_after_answer(request):
+        yield whole(request, body_for(request))
+        yield b""
+
+    server = ScriptedServer(close_after_answer)
+    for _ in range(20):
+        exchange = backends.send(target(server.address), attempt())
+        assert exchange.answer.result(ANSWER_WAIT_S).body == b"answer to /x"
+    server.close()
+
+
+def test_refused_connection_sent_nothing(backends) -> None:
+    server = ScriptedServer(right)
+    server.close()
+    exchange = backends.send(target(server.address), attempt())
+    with pytest.raises(ConnectFailedError):
+        exchange.answer.result(ANSWER_WAIT_S)
+    exchange.ended.result(ANSWER_WAIT_S)
+
+
+@pytest.mark.parametrize("path", ["/a b", "/a\nb", "/\u2603"])
+def test_request_that_cannot_be_sent(backends, path) -> None:
+    server = ScriptedServer(right)
+    exchange = backends.send(target(server.address), attempt(path))
+    with pytest.raises(InvalidCallError):
+        exchange.answer.result(ANSWER_WAIT_S)
+    exchange.ended.result(ANSWER_WAIT_S)
+    assert not server.received
+    server.close()
+
+
+def test_refusal_ends_the_attempt(backends) -> None:
+    lines = ("Dotterelpier-Outcome: not-run", "Content-Length: 0")
+    server = ScriptedServer(
+        lambda request: [head(request, *lines, status="503 Service Unavailable")]
+    )
+    exchange = backends.send(target(server.address), attempt())
+    with pytest.raises(RefusedError):
+        exchange.answer.result(ANSWER_WAIT_S)
+    exchange.ended.result(ANSWER_WAIT_S)
+    server.close()
+
+
+def test_lost_attempt_has_ended_once_its_cancellation_is_confirmed(backends) -> None:
+    server = ScriptedServer(lambda request: [b""])
+    exchange = backends.send(target(server.address), attempt(timeout_s=60.0))
+    with pytest.raises(AnswerLostError):
+        exchange.answer.result(ANSWER_WAIT_S)
+    exchange.ended.result(ANSWER_WAIT_S)
+    assert server.cancelled == ["attempt"]
+    server.close()
+
+
+def test_lost_attempt_counts_until_its_deadline(backends) -> None:
+    gone = threading.Event()
+
+    def vanish(request):
+        server.close()
+        gone.set()
+        yield b""
+
+    server = ScriptedServer(vanish)
+    sent = attempt(timeout_s=1.0)
+    exchange = backends.send(target(server.address), sent)
+    with pytest.raises(AnswerLostError):
+        exchange.answer.result(ANSWER_WAIT_S)
+    assert gone.is_set()
+    exchange.ended.result(ANSWER_WAIT_S)
+    assert time.monotonic() >= sent.deadline_at
+
+
+def test_large_answer_is_streamed(backends) -> None:
+    body = bytes(range(256)) * 4096
+    server = ScriptedServer(lambda request: [whole(request, body)])
+    exchange = backends.send(target(server.address), attempt(whole_answer_bytes=1000))
+    answer = exchange.answer.result(ANSWER_WAIT_S)
+    assert (answer.body, answer.length) == (b"", len(body))
+    assert not exchange.ended.done()
+    assert b"".join(answer.stream) == body
+    exchange.ended.result(ANSWER_WAIT_S)
+    server.close()
+
+
+def test_stream_that_breaks_off_is_an_error(backends) -> None:
+    body = bytes(range(256)) * 4096
+    server = ScriptedServer(lambda request: [whole(request, body)[:-1], b""])
+    exchange = backends.send(target(server.address), attempt(whole_answer_bytes=1000))
+    answer = exchange.answer.result(ANSWER_WAIT_S)
+    with pytest.raises(AnswerLostError):
+        b"".join(answer.stream)
+    server.close()
+
+
+def test_reader_that_leaves_cancels_the_attempt(backends) -> None:
+    body = bytes(8 << 20)
+    server = ScriptedServer(lambda request: [whole(request, body)])
+    exchange = backends.send(target(server.address), attempt(whole_answer_bytes=1000))
+    answer = exchange.answer.result(ANSWER_WAIT_S)
+    next(answer.stream)
+    answer.stream.close()
+    exchange.ended.result(ANSWER_WAIT_S)
+    assert server.cancelled == ["attempt"]
+    server.close()
