Rules for non-idempotent requests match however the path is written

Cause: the rule's pattern was matched against the path with its query and escapes, so POST /spares?size=2 was taken as idempotent and could be sent twice.

Before: FAILED test_rule_matches_however_the_path_is_written[/spares?size=2], [/%73pares], [//spares], [/spares?a=/b], [/spares/] After: 6 passed.

--- a/dotterelpier/model/manifest.py
+++ b/dotterelpier/model/manifest.py
@@ -1,11 +1,15 @@
 """The manifest: what the operators declare."""
 
 import fnmatch
+import re
 from enum import Enum
+from urllib.parse import unquote
 
 from attrs import field, frozen
 from attrs.validators import ge, gt, le
 
+REPEATED_SLASHES = re.compile("/+")
+
 
 class ZoneState(str, Enum):
     """Whether an availability zone takes new work."""
@@ -33,6 +37,11 @@
     state: ZoneState = ZoneState.IN
 
 
+def _plain_path(path: str) -> str:
+    """Return a path without query, escapes and repeated slashes."""
+    return REPEATED_SLASHES.sub("/", unquote(path.partition("?")[0]))
+
+
 @frozen
 class NonIdempotentRule:
     """Marks requests that must run at most once.
@@ -49,8 +58,12 @@
     path: str = "/*"
 
     def matches(self, method: str, path: str) -> bool:
-        """Tell whether a request falls under this rule."""
-        return self.method == method and fnmatch.fnmatchcase(path, self.path)
+        """Tell whether a request falls under this rule, however its path is written."""
+        if self.method != method:
+            return False
+        plain = _plain_path(path)
+        written = (plain, plain.rstrip("/"), plain.rstrip("/") + "/")
+        return any(fnmatch.fnmatchcase(item, self.path) for item in written)
 
 
 @frozen
