Claims commit in groups, are set right after lost replies, and expire

Many claims go in one transaction; one write for each key, split on conflict. A claim whose reply was lost and could not be read back is deleted in the background, so that a caller told "not run" can repeat its key. An answer that the platform did not take in time is recorded later.

Ruled out: a leader among the waiting callers instead of a task, as one call would pay for the transactions of others.

--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -21,6 +21,7 @@
 from dotterelpier.services.admission import make_admission
 from dotterelpier.services.audit import make_audit
 from dotterelpier.services.calls import make_calls
+from dotterelpier.services.claim_sweeper import make_claim_sweeper
 from dotterelpier.services.claims import make_claims
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.directory import make_directory
@@ -131,7 +132,10 @@
     kernel.register(ServiceName.ADMISSION, admission, (ServiceName.EVIDENCE,))
     routing = make_routing(kernel)
     kernel.register(ServiceName.ROUTING, routing, (ServiceName.MEMBERSHIP,))
-    kernel.register(ServiceName.CLAIMS, make_claims(kernel), (ServiceName.MANIFEST,))
+    needs = (ServiceName.MANIFEST, ServiceName.TIMER)
+    kernel.register(ServiceName.CLAIMS, make_claims(kernel), needs)
+    sweeper = make_claim_sweeper(kernel)
+    kernel.register(ServiceName.CLAIM_SWEEPER, sweeper, (ServiceName.MEMBERSHIP,))
     kernel.register(
         ServiceName.CALLS,
         make_calls(kernel),
--- /dev/null
+++ b/dotterelpier/group_commit.py
@@ -0,0 +1,108 @@
+"""Commits the writes of many callers in one transaction of the platform's table."""
+
+from concurrent.futures import Future
+from queue import Empty, SimpleQueue
+
+from attrs import define, field, frozen
+from loguru import logger
+
+from dotterelpier.errors import (
+    ConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from dotterelpier.model.platform import Write
+from dotterelpier.protocols import Table
+
+MAX_WRITES = 64
+
+
+@frozen
+class PendingWrite:
+    """A write that waits for its transaction, with the future of its version."""
+
+    write: Write
+    version: "Future[str]" = field(factory=Future)
+
+
+@define(eq=False)
+class GroupCommit:
+    """Takes writes together that come while a transaction is on its way.
+
+    A transaction holds one write for each key. Where a precondition does not hold,
+    it is split, so that the conflict of one write leaves the others alone.
+    """
+
+    _table: Table
+    _arrived: "SimpleQueue[PendingWrite | None]" = field(factory=SimpleQueue)
+    _held: list[PendingWrite] = field(factory=list)
+    _closed: bool = False
+
+    def put(self, write: Write) -> "Future[str]":
+        """Add a write; the future fails with a ``PlatformError``."""
+        pending = PendingWrite(write)
+        self._arrived.put(pending)
+        return pending.version
+
+    def close(self) -> None:
+        """End the task once it has committed what was put before."""
+        self._arrived.put(None)
+
+    def serve(self) -> None:
+        """Commit until closed."""
+        while batch := self._next_batch():
+            self._commit(batch)
+
+    def _next_batch(self) -> list[PendingWrite]:
+        taken, self._held = self._held, []
+        if not taken and not self._closed:
+            self._take(self._arrived.get(), taken)
+        while len(taken) < MAX_WRITES and not self._closed:
+            try:
+                self._take(self._arrived.get_nowait(), taken)
+            except Empty:
+                break
+        pending_by_key: dict[str, PendingWrite] = {}
+        for pending in taken:
+            first = pending_by_key.setdefault(pending.write.key, pending)
+            if first is not pending:
+                self._held.append(pending)
+        return list(pending_by_key.values())
+
+    def _take(self, pending: PendingWrite | None, taken: list[PendingWrite]) -> None:
+        if pending is None:
+            self._closed = True
+        else:
+            taken.append(pending)
+
+    def _commit(self, batch: list[PendingWrite]) -> None:
+        try:
+            versions = self._table.commit([pending.write for pending in batch])
+        except ConflictError as error:
+            self._split(batch, error)
+        except PlatformError as error:
+            _fail(batch, error)
+        except Exception as error:
+            logger.exception("transaction failed")
+            _fail(batch, PlatformUnavailableError(repr(error), step="group_commit"))
+        else:
+            for pending, version in zip(batch, versions, strict=True):
+                pending.version.set_result(version)
+
+    def _split(self, batch: list[PendingWrite], error: ConflictError) -> None:
+        if len(batch) == 1:
+            _fail(batch, error)
+            return
+        middle = len(batch) // 2
+        self._commit(batch[:middle])
+        self._commit(batch[middle:])
+
+
+def _fail(batch: list[PendingWrite], error: PlatformError) -> None:
+    for pending in batch:
+        pending.version.set_exception(error)
+
+
+def make_group_commit(table: Table) -> GroupCommit:
+    """Return a group commit whose ``serve`` must run as a task."""
+    return GroupCommit(table)
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -49,6 +49,7 @@
     BACKENDS = "backends"
     RELAYS = "relays"
     CLAIMS = "claims"
+    CLAIM_SWEEPER = "claim_sweeper"
     CALLS = "calls"
     DIRECTORY = "directory"
     DRAIN = "drain"
--- a/dotterelpier/services/claims.py
+++ b/dotterelpier/services/claims.py
@@ -1,8 +1,15 @@
-"""Idempotency keys, claimed in the platform's table before anything is sent."""
+"""Idempotency keys, claimed in the platform's table before anything is sent.
+
+A claim is kept for the service's retention after the deadline of its call, and then
+until a sweep deletes it; a key that comes again afterwards is a new call.
+"""
 
 import base64
 import hashlib
 import threading
+from collections import deque
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
 
 from attrs import define, evolve, field
 from loguru import logger
@@ -13,59 +20,124 @@
     DuplicateCallError,
     KeyReusedError,
     PlatformError,
-    PlatformUnavailableError,
 )
+from dotterelpier.group_commit import GroupCommit, make_group_commit
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.call import Answer, Call
 from dotterelpier.model.claim import Claim, ClaimState
 from dotterelpier.model.platform import ABSENT, Row, Write
-from dotterelpier.protocols import Claims, Clock, ManifestKeeper, ServiceName, Table
+from dotterelpier.protocols import (
+    Claims,
+    Clock,
+    ManifestKeeper,
+    ServiceName,
+    Subscription,
+    Table,
+    TaskKind,
+    Tasks,
+    Timer,
+)
 from dotterelpier.wire.rows import claim_key, decode_row, encode_row
 
-MAX_RECORDED_BODY_BYTES = 64 << 10
+MAX_RECORDED_BYTES = 64 << 10
 DEFAULT_RETENTION_S = 86_400.0
+SETTLE_WAIT_S = 0.25
+CORRECTION_INTERVAL_S = 1.0
+MAX_CORRECTIONS = 4096
+CORRECTIONS_PER_INTERVAL = 32
+MAX_TRIES = 600
+MAX_TRIES_WITHOUT_ROW = 5
+
+
+@define
+class _Correction:
+    """What a row must become if the call still holds it."""
+
+    key: str
+    call_id: str
+    value: bytes | None
+    tries: int = 0
 
 
 @define
 class TableClaims:
-    """Claims keys by conditional inserts."""
+    """Claims keys by conditional inserts, many in one transaction.
+
+    Writes whose replies were lost are set right in the background: a row that holds
+    the key for a call that never ran is deleted, an answer is recorded late.
+    """
 
     _table: Table
     _clock: Clock
+    _timer: Timer
+    _tasks: Tasks
     _manifest: ManifestKeeper
+    _commits: GroupCommit
+    _corrections: "deque[_Correction]" = field(
+        factory=lambda: deque(maxlen=MAX_CORRECTIONS)
+    )
     _version_by_call_id: dict[str, str] = field(factory=dict)
+    _subscription: Subscription | None = None
     _lock: threading.Lock = field(factory=threading.Lock)
 
+    def start(self) -> None:
+        """Start the tasks that commit and correct."""
+        self._tasks.submit(TaskKind.CONTROL, self._commits.serve)
+        self._subscription = self._timer.every(CORRECTION_INTERVAL_S)
+        self._tasks.submit(TaskKind.CONTROL, self._correct, self._subscription)
+
+    def stop(self) -> None:
+        """End both tasks."""
+        self._commits.close()
+        if self._subscription is not None:
+            self._subscription.cancel()
+
     def claim(self, call: Call) -> Answer | None:
         """Claim the key of a call; return the recorded answer if it already ran."""
         key = claim_key(call.service, call.idempotency_key)
         claim = Claim(
-            call.id,
-            _request_digest(call),
-            ClaimState.CLAIMED,
-            self._clock.unix() + self._retention_s(call.service),
+            call.id, _request_digest(call), ClaimState.CLAIMED, self._expires_at(call)
         )
+        written = self._commits.put(Write(key, encode_row(claim), ABSENT))
         try:
-            (version,) = self._table.commit([Write(key, encode_row(claim), ABSENT)])
+            version = written.result(self._remaining_s(call))
+        except FutureTimeoutError:
+            written.add_done_callback(lambda _: self._give_up(key, call))
+            raise _unavailable("the platform did not answer in time") from None
         except ConflictError:
-            return self._read_earlier(key, claim)
-        except PlatformUnavailableError:
-            return self._settle_lost_reply(key, claim)
+            return self._read_earlier(key, call, claim)
+        except PlatformError:
+            return self._settle_lost_reply(key, call, claim)
         self._remember(call, version)
         return None
 
     def settle(self, call: Call, answer: Answer | None) -> None:
-        """Record the answer, or None where nothing ran and the key is free again."""
+        """Record the answer, or None where nothing ran and the key is free again.
+
+        Waits a moment for the record, so that a repeat finds it; a platform that is
+        slower than that gets it in the background.
+        """
         with self._lock:
             version = self._version_by_call_id.pop(call.id, None)
         if version is None:
             return
         key = claim_key(call.service, call.idempotency_key)
         value = None if answer is None else self._recorded(call, answer)
+        written = self._commits.put(Write(key, value, version))
+        written.add_done_callback(
+            lambda done: self._correct_if_failed(done, _Correction(key, call.id, value))
+        )
         try:
-            self._table.commit([Write(key, value, version)])
-        except PlatformError as error:
-            logger.warning("claim not settled", call=call.id, error=str(error))
+            written.result(SETTLE_WAIT_S)
+        except (FutureTimeoutError, PlatformError) as error:
+            logger.warning("claim settled late", call=call.id, error=repr(error))
+
+    def _remaining_s(self, call: Call) -> float:
+        return max(0.0, call.deadline_at - self._clock.monotonic())
+
+    def _expires_at(self, call: Call) -> float:
+        kept_s = self._remaining_s(call) + self._retention_s(call.service)
+        return self._clock.unix() + kept_s
 
     def _retention_s(self, service: str) -> float:
         revision = self._manifest.current()
@@ -73,18 +145,17 @@
             return DEFAULT_RETENTION_S
         return revision.manifest.service_by_name[service].key_retention_s
 
-    def _remember(self, call_or_claim: Call, version: str) -> None:
+    def _remember(self, call: Call, version: str) -> None:
         with self._lock:
-            self._version_by_call_id[call_or_claim.id] = version
+            self._version_by_call_id[call.id] = version
 
     def _recorded(self, call: Call, answer: Answer) -> bytes:
         claim = Claim(
-            call.id,
-            _request_digest(call),
-            ClaimState.ANSWERED,
-            self._clock.unix() + self._retention_s(call.service),
+            call.id, _request_digest(call), ClaimState.ANSWERED, self._expires_at(call)
         )
-        if answer.stream is None and len(answer.body) <= MAX_RECORDED_BODY_BYTES:
+        header_bytes = sum(len(name) + len(value) for name, value in answer.headers)
+        size = header_bytes + len(answer.body)
+        if answer.stream is None and size <= MAX_RECORDED_BYTES:
             claim = evolve(
                 claim,
                 status=answer.status,
@@ -93,48 +164,79 @@
             )
         return encode_row(claim)
 
-    def _settle_lost_reply(self, key: str, claim: Claim) -> Answer | None:
+    def _settle_lost_reply(self, key: str, call: Call, claim: Claim) -> Answer | None:
         try:
-            return self._read_earlier(key, claim)
-        except PlatformError as error:
-            raise ClaimUnavailableError(
-                str(error), step="claims.claim", peer=error.peer
-            ) from None
+            return self._read_earlier(key, call, claim)
+        except ClaimUnavailableError:
+            self._give_up(key, call)
+            raise
 
-    def _read_earlier(self, key: str, claim: Claim) -> Answer | None:
+    def _read_earlier(self, key: str, call: Call, claim: Claim) -> Answer | None:
         try:
             row = self._table.read(key)
+            earlier = None if row is None else decode_row(row, Claim)
         except PlatformError as error:
-            raise ClaimUnavailableError(
-                str(error), step="claims.read", peer=error.peer
-            ) from None
-        if row is None:
-            raise ClaimUnavailableError(
-                "the claim did not take effect", step="claims.read"
-            )
-        return self._answer_of(row, claim)
-
-    def _answer_of(self, row: Row, claim: Claim) -> Answer | None:
-        earlier = decode_row(row, Claim)
-        if earlier.attempt_id == claim.attempt_id:
-            with self._lock:
-                self._version_by_call_id[claim.attempt_id] = row.version
+            raise _unavailable(str(error), error.peer) from None
+        if row is None or earlier is None:
+            raise _unavailable("the claim did not take effect")
+        if earlier.attempt_id == call.id:
+            self._remember(call, row.version)
             return None
-        if earlier.request_digest != claim.request_digest:
-            raise KeyReusedError(
-                "the idempotency key came before with another request",
-                step="claims.claim",
-            )
-        if earlier.state is ClaimState.CLAIMED or not earlier.status:
-            raise DuplicateCallError(
-                "an earlier call with this idempotency key may have run",
-                step="claims.claim",
-            )
-        return Answer(
-            earlier.status,
-            tuple((name, value) for name, value in earlier.headers),
-            base64.b64decode(earlier.body_base64),
+        return _recorded_answer(earlier, claim)
+
+    def _give_up(self, key: str, call: Call) -> None:
+        self._corrections.append(_Correction(key, call.id, None))
+
+    def _correct_if_failed(self, done: "Future[str]", correction: _Correction) -> None:
+        if done.exception() is not None:
+            self._corrections.append(correction)
+
+    def _correct(self, subscription: Subscription) -> None:
+        while subscription.wait():
+            for _ in range(min(len(self._corrections), CORRECTIONS_PER_INTERVAL)):
+                correction = self._corrections.popleft()
+                if not self._corrected(correction):
+                    self._corrections.append(correction)
+
+    def _corrected(self, correction: _Correction) -> bool:
+        """Set a row right; return whether nothing is left to do."""
+        correction.tries += 1
+        try:
+            row = self._table.read(correction.key)
+            if row is not None and self._is_wrong(row, correction):
+                write = Write(correction.key, correction.value, row.version)
+                self._table.commit([write])
+        except PlatformError as error:
+            logger.debug("claim not corrected", key=correction.key, error=str(error))
+            return correction.tries >= MAX_TRIES
+        # A write whose reply was lost may still be on its way.
+        return row is not None or correction.tries >= MAX_TRIES_WITHOUT_ROW
+
+    def _is_wrong(self, row: Row, correction: _Correction) -> bool:
+        held_by_call = decode_row(row, Claim).attempt_id == correction.call_id
+        return held_by_call and row.value != correction.value
+
+
+def _recorded_answer(earlier: Claim, claim: Claim) -> Answer:
+    if earlier.request_digest != claim.request_digest:
+        raise KeyReusedError(
+            "the idempotency key came before with another request",
+            step="claims.claim",
         )
+    if earlier.state is ClaimState.CLAIMED or not earlier.status:
+        raise DuplicateCallError(
+            "an earlier call with this idempotency key may have run",
+            step="claims.claim",
+        )
+    return Answer(
+        earlier.status,
+        tuple((name, value) for name, value in earlier.headers),
+        base64.b64decode(earlier.body_base64),
+    )
+
+
+def _unavailable(message: str, peer: str = "") -> ClaimUnavailableError:
+    return ClaimUnavailableError(message, step="claims.claim", peer=peer)
 
 
 def _request_digest(call: Call) -> str:
@@ -147,8 +249,12 @@
 
 def make_claims(kernel: Kernel) -> Claims:
     """Return the claims kept in the platform's table."""
+    table = kernel.find(ServiceName.TABLE, Table)
     return TableClaims(
-        kernel.find(ServiceName.TABLE, Table),
+        table,
         kernel.find(ServiceName.CLOCK, Clock),
+        kernel.find(ServiceName.TIMER, Timer),
+        kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.MANIFEST, ManifestKeeper),
+        make_group_commit(table),
     )
--- a/dotterelpier/wire/rows.py
+++ b/dotterelpier/wire/rows.py
@@ -14,6 +14,8 @@
 MEMBER_PREFIX = "member/"
 AUDIT_PREFIX = "audit/"
 CLAIM_PREFIX = "claim/"
+CLAIM_SHARD_DIGITS = 3
+CLAIM_SHARDS = 16**CLAIM_SHARD_DIGITS
 MANIFEST_KEY = "manifest"
 ASSIGNMENT_KEY = "assignment"
 
@@ -49,8 +51,13 @@
 
 def claim_key(service: str, idempotency_key: str) -> str:
     """Return the key of a claim; the caller's key is hashed to bound its size."""
-    hashed = hashlib.sha256(idempotency_key.encode()).hexdigest()
-    return f"{CLAIM_PREFIX}{service}/{hashed}"
+    hashed = hashlib.sha256(f"{service}/{idempotency_key}".encode()).hexdigest()
+    return CLAIM_PREFIX + hashed
+
+
+def claim_shard_prefix(shard: int) -> str:
+    """Return the prefix of the keys of one shard of all claims."""
+    return f"{CLAIM_PREFIX}{shard:0{CLAIM_SHARD_DIGITS}x}"
 
 
 def decode_row(row: Row, kind: type[T]) -> T:
