Command line runs only once the whole line was understood

Ruled out: an error of the parser's flags; the same happens with a stray positional argument.

After: it prints nothing but one line and exits with 2.

Commands now check their arguments and return an Invocation, which runs only when fire consumed the line.

--- a/dotterelpier/cli/commands.py
+++ b/dotterelpier/cli/commands.py
@@ -1,138 +1,229 @@
-"""The commands of the command line."""
+"""The commands, as the command line offers them.
+
+Each one checks its arguments and returns an ``Invocation``; none runs anything yet.
+"""
 
-import getpass
-import http.client
-import json
-import socket
-import sys
 import uuid
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
+from typing import TypeVar
+
+from fire.decorators import SetParseFn
 
-from dotterelpier import __version__
-from dotterelpier.clients.http_connection import open_connection
-from dotterelpier.clients.platform import PlatformClient, make_platform_client
-from dotterelpier.entry import run_entry
-from dotterelpier.errors import PeerUnavailableError, SettingsError
-from dotterelpier.exit_status import ExitStatus
-from dotterelpier.log import configure_log
-from dotterelpier.manifest_apply import (
-    Applicant,
-    AppliedManifest,
-    apply_manifest,
-    current_manifest,
-    wait_for_acknowledgements,
-)
-from dotterelpier.model.audit import AuditEntry
-from dotterelpier.services.clock import make_clock
-from dotterelpier.settings import Settings, read_settings
-from dotterelpier.wire.manifest_toml import read_manifest
-from dotterelpier.wire.rows import AUDIT_PREFIX, decode_row
+from dotterelpier.cli.arguments import Arguments
+from dotterelpier.cli.audit import AuditFilter, run_audit
+from dotterelpier.cli.invocation import Invocation
+from dotterelpier.cli.manifest import run_apply, run_check, run_show
+from dotterelpier.cli.status import run_status
+from dotterelpier.cli.system import run_entry_command, run_version
 
 DEFAULT_SETTINGS = "dotterelpier.toml"
-STATUS_TIMEOUT_S = 2.0
+MAX_WAIT_S = 3600.0
+
+Command = TypeVar("Command", bound=Callable[..., Invocation])
+
+
+def _takes_text(command: Command) -> Command:
+    # Fire would turn a file named 3 into a number.
+    SetParseFn(str)(command)
+    return command
 
 
 class Commands:
-    """Load balancer for servers whose load shifts in milliseconds."""
+    """Load balancer for servers whose load shifts in milliseconds.
+
+    'dotterelpier COMMAND --help' describes a command.
+    """
 
     def __init__(self) -> None:
-        self.status_ = ExitStatus.OK
-        self.manifest = ManifestCommands(self)
+        self.manifest = ManifestCommands()
 
     def __dir__(self) -> list[str]:
-        return ["entry", "manifest", "status", "audit", "version"]
-
-    def entry(self, settings: str = DEFAULT_SETTINGS) -> None:
-        """Run an entry until SIGTERM, then stop it without cutting a call."""
-        checked = read_settings(Path(str(settings)))
-        configure_log(checked.log.level)
-        run_entry(checked)
-
-    def status(self, settings: str = DEFAULT_SETTINGS) -> None:
-        """Show the status of the entry that the settings describe, as JSON."""
-        checked = read_settings(Path(str(settings)))
-        if checked.entry is None:
-            raise SettingsError("entry: the table is missing", step="status")
-        print(_fetch_status(checked.entry.operator_address))
-
-    def audit(self, settings: str = DEFAULT_SETTINGS) -> None:
-        """Show the audit trail as JSON lines, the oldest entry first."""
-        platform = _platform(read_settings(Path(str(settings))))
-        for row in platform.scan(AUDIT_PREFIX):
-            decode_row(row, AuditEntry)
-            print(row.value.decode())
-
-    def version(self) -> None:
+        return ["audit", "entry", "manifest", "status", "version"]
+
+    @_takes_text
+    def entry(self, *, settings: str = DEFAULT_SETTINGS) -> Invocation:
+        """Run an entry until SIGTERM, then stop it without cutting a call.
+
+        Logs go to standard error as JSON lines.
+
+        Example: dotterelpier entry --settings /etc/dotterelpier.toml
+
+        Parameters
+        ----------
+        settings : str
+            Settings file with an [entry] table.
+        """
+        path = _path("entry", settings)
+        return Invocation(partial(run_entry_command, path))
+
+    @_takes_text
+    def status(
+        self,
+        *,
+        settings: str = DEFAULT_SETTINGS,
+        address: str = "",
+        all: bool = False,  # noqa: A002
+        json: bool = False,
+    ) -> Invocation:
+        """Show entries, homes, backend servers, evidence and revisions in force.
+
+        Asks the entry that the settings describe, or with --all every member. An
+        age shown as '-' means that there is nothing yet.
+
+        Example: dotterelpier status --all --settings entry.toml
+
+        Example: dotterelpier status --address 127.0.0.1:8003 --json
+
+        Parameters
+        ----------
+        settings : str
+            Settings file; not read if an address is given.
+        address : str
+            IP:port of the operators' front end of the entry to ask.
+        all : bool
+            Ask every member; members that do not answer are named on standard
+            error and give exit status 8.
+        json : bool
+            Write JSON, a list of the entries asked.
+        """
+        arguments = Arguments("status")
+        where = arguments.text("address", address) if address else ""
+        return Invocation(
+            partial(
+                run_status,
+                _path("status", settings),
+                where,
+                arguments.switch("all", all),
+                arguments.switch("json", json),
+            )
+        )
+
+    @_takes_text
+    def audit(
+        self,
+        *,
+        settings: str = DEFAULT_SETTINGS,
+        since: str = "",
+        until: str = "",
+        key: str = "",
+        event: str = "",
+        json: bool = False,
+    ) -> Invocation:
+        """Show the audit trail, the oldest entry first.
+
+        Example: dotterelpier audit --since 2026-05-01T12:00:00 --event manifest
+
+        Example: dotterelpier audit --key zones --json
+
+        Parameters
+        ----------
+        settings : str
+            Settings file with a [platform] table.
+        since : str
+            Only entries from this time on, in ISO 8601; UTC if no zone is named.
+        until : str
+            Only entries before this time.
+        key : str
+            Only entries with a change whose line contains this text.
+        event : str
+            Only events whose name starts with this text, such as manifest.
+        json : bool
+            Write JSON lines.
+        """
+        arguments = Arguments("audit")
+        wanted = AuditFilter(
+            arguments.time("since", since) if since else float("-inf"),
+            arguments.time("until", until) if until else float("inf"),
+            arguments.text("key", key) if key else "",
+            arguments.text("event", event) if event else "",
+        )
+        path = _path("audit", settings)
+        return Invocation(
+            partial(run_audit, path, wanted, arguments.switch("json", json))
+        )
+
+    @_takes_text
+    def version(self) -> Invocation:
         """Show the version."""
-        print(__version__)
+        return Invocation(run_version)
 
 
 class ManifestCommands:
     """Check, apply and show manifests."""
 
-    def __init__(self, commands: Commands) -> None:
-        self._commands = commands
-
-    def check(self, file: str) -> None:
-        """Check a manifest without the platform and name every fault."""
-        read_manifest(_read_text(str(file)), str(file))
-        print(f"{file}: no faults")
-
-    def apply(
-        self, file: str, settings: str = DEFAULT_SETTINGS, wait_s: float = 12.0
-    ) -> None:
-        """Apply a manifest and wait until a majority of entries acknowledged it."""
-        checked = read_settings(Path(str(settings)))
-        platform = _platform(checked)
-        text = _read_text(str(file))
-        read_manifest(text, str(file))
-        applicant = Applicant(getpass.getuser(), socket.gethostname(), uuid.uuid4().hex)
-        clock = make_clock()
-        applied = apply_manifest(platform, platform, clock, text, applicant)
-        applied = wait_for_acknowledgements(
-            platform, clock, applied, float(wait_s), _show_progress
-        )
-        print(f"revision {applied.number}: {_acknowledged(applied)}")
-        if not applied.in_force:
-            self._commands.status_ = ExitStatus.NOT_ACKNOWLEDGED
-
-    def show(self, settings: str = DEFAULT_SETTINGS) -> None:
-        """Show the accepted manifest."""
-        platform = _platform(read_settings(Path(str(settings))))
-        revision = current_manifest(platform, platform)
-        if revision is None:
-            print("no manifest was accepted yet", file=sys.stderr)
-            return
-        print(f"# revision {revision.number}, digest {revision.digest}")
-        print(revision.text)
-
+    def __dir__(self) -> list[str]:
+        return ["apply", "check", "show"]
 
-def _platform(settings: Settings) -> PlatformClient:
-    return make_platform_client(settings.platform, make_clock())
+    @_takes_text
+    def check(self, file: str) -> Invocation:
+        """Check a manifest without the platform and name every fault at its key.
 
+        Example: dotterelpier manifest check caroni.toml
 
-def _read_text(file: str) -> str:
-    try:
-        return Path(file).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(str(error), step="manifest.read", peer=file) from None
+        Parameters
+        ----------
+        file : str
+            Manifest; - for standard input.
+        """
+        name = Arguments("manifest check").text("file", file)
+        return Invocation(partial(run_check, name))
 
+    @_takes_text
+    def apply(
+        self,
+        file: str,
+        *,
+        settings: str = DEFAULT_SETTINGS,
+        apply_id: str = "",
+        wait_s: float = 12.0,
+        json: bool = False,
+    ) -> Invocation:
+        """Apply a manifest and wait until a majority of entries acknowledged it.
+
+        Asks nothing, so that a pipeline can run it. Progress goes to standard error.
+
+        Example: dotterelpier manifest apply caroni.toml --apply-id build-1234
+
+        Parameters
+        ----------
+        file : str
+            Manifest; - for standard input.
+        settings : str
+            Settings file with a [platform] table.
+        apply_id : str
+            Unique id of this apply, kept in the audit trail; made up if not given.
+        wait_s : float
+            Longest wait for acknowledgements, in seconds.
+        json : bool
+            Write the result as JSON.
+        """
+        arguments = Arguments("manifest apply")
+        return Invocation(
+            partial(
+                run_apply,
+                arguments.text("file", file),
+                _path("manifest apply", settings),
+                arguments.text("apply_id", apply_id or uuid.uuid4().hex),
+                arguments.seconds("wait_s", wait_s, MAX_WAIT_S),
+                arguments.switch("json", json),
+            )
+        )
 
-def _acknowledged(applied: AppliedManifest) -> str:
-    state = "in force" if applied.in_force else "written"
-    return f"{state}, {applied.acknowledged} of {applied.members} acknowledged"
+    @_takes_text
+    def show(self, *, settings: str = DEFAULT_SETTINGS) -> Invocation:
+        """Show the accepted manifest as TOML.
 
+        Example: dotterelpier manifest show --settings entry.toml
 
-def _show_progress(applied: AppliedManifest) -> None:
-    print(f"revision {applied.number}: {_acknowledged(applied)}", file=sys.stderr)
+        Parameters
+        ----------
+        settings : str
+            Settings file with a [platform] table.
+        """
+        return Invocation(partial(run_show, _path("manifest show", settings)))
 
 
-def _fetch_status(address: str) -> str:
-    try:
-        connection = open_connection(address, STATUS_TIMEOUT_S)
-        connection.request("GET", "/v1/status")
-        content = connection.getresponse().read()
-        connection.close()
-        return json.dumps(json.loads(content), indent=2)
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        raise PeerUnavailableError(repr(error), step="status", peer=address) from None
+def _path(command: str, settings: object) -> Path:
+    return Path(Arguments(command).text("settings", settings))
--- /dev/null
+++ b/dotterelpier/cli/invocation.py
@@ -0,0 +1,28 @@
+"""A command with its arguments, checked but not yet run."""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from dotterelpier.cli.environment import Environment
+from dotterelpier.exit_status import ExitStatus
+
+
+@frozen
+class Invocation:
+    """What the command line asks for.
+
+    The command runs only once the whole line was understood, so that a mistyped
+    flag never runs half of what was meant.
+
+    Attributes
+    ----------
+    run : callable
+        Runs the command in an environment and returns its exit status.
+    """
+
+    run: Callable[[Environment], ExitStatus]
+
+    def __dir__(self) -> list[str]:
+        # Fire takes further arguments as names of members.
+        return []
--- a/dotterelpier/cli/main.py
+++ b/dotterelpier/cli/main.py
@@ -1,12 +1,17 @@
 """Runs commands and maps errors to exit statuses."""
 
+import contextlib
+import io
+import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import fire
 from fire.core import FireExit
 
 from dotterelpier.cli.commands import Commands
+from dotterelpier.cli.environment import Environment, make_environment
+from dotterelpier.cli.invocation import Invocation
 from dotterelpier.errors import (
     ConflictError,
     DotterelpierError,
@@ -14,10 +19,22 @@
     PeerUnavailableError,
     PlatformError,
     SettingsError,
+    UsageError,
 )
-from dotterelpier.exit_status import ExitStatus
+from dotterelpier.exit_status import MEANING_BY_STATUS, ExitStatus
 
-STATUS_BY_ERROR: dict[type[DotterelpierError], ExitStatus] = {
+PROGRAM = "dotterelpier"
+
+# Fire takes "-" as the end of a command; "-" here names standard input.
+FIRE_FLAGS = ("--", "--separator", "(none)")
+
+UNKNOWN_ARGUMENT = "Could not consume arg: "
+
+# Fire lists its own marks on the commands as if they were a group.
+FIRE_MARKS = "\n\nGROUPS\n    GROUP is one of the following:\n\n     FIRE_METADATA"
+
+STATUS_BY_ERROR: Mapping[type[DotterelpierError], ExitStatus] = {
+    UsageError: ExitStatus.USAGE,
     SettingsError: ExitStatus.SETTINGS_INVALID,
     ManifestError: ExitStatus.MANIFEST_INVALID,
     ConflictError: ExitStatus.CONFLICT,
@@ -26,32 +43,94 @@
 }
 
 
-def run(arguments: Sequence[str]) -> ExitStatus:
+def run(arguments: Sequence[str], environment: Environment | None = None) -> ExitStatus:
     """Run one command.
 
     Parameters
     ----------
     arguments : sequence of str
         Arguments without the name of the program.
+    environment : Environment, default=None
+        Surroundings; those of this process by default.
 
     Returns
     -------
     ExitStatus
         Status to exit with.
     """
-    commands = Commands()
+    environment = environment or make_environment()
     try:
-        fire.Fire(commands, list(arguments), name="dotterelpier", serialize=_silent)
-    except FireExit as error:
-        return ExitStatus.OK if error.code == 0 else ExitStatus.USAGE
+        status = _run(arguments, environment)
+        environment.stdout.flush()
+        return status
+    except BrokenPipeError:
+        _discard_output(environment)
+        return ExitStatus.OUTPUT_CLOSED
+    except KeyboardInterrupt:
+        environment.report(f"{PROGRAM}: interrupted")
+        return ExitStatus.INTERRUPTED
+
+
+def _run(arguments: Sequence[str], environment: Environment) -> ExitStatus:
+    try:
+        invocation = _parse(arguments, environment)
+        if isinstance(invocation, ExitStatus):
+            return invocation
+        return invocation.run(environment)
     except ManifestError as error:
         for fault in error.faults:
-            print(f"{error.peer}: {fault}", file=sys.stderr)
+            environment.report(f"{error.peer}: {fault}")
         return ExitStatus.MANIFEST_INVALID
     except DotterelpierError as error:
-        print(f"dotterelpier: {error}", file=sys.stderr)
+        environment.report(f"{PROGRAM}: {error}")
         return _status_of(error)
-    return commands.status_
+    except BrokenPipeError:
+        raise
+    except Exception as error:
+        environment.report(f"{PROGRAM}: {type(error).__name__}: {error}")
+        return ExitStatus.FAILURE
+
+
+def _parse(
+    arguments: Sequence[str], environment: Environment
+) -> Invocation | ExitStatus:
+    written = io.StringIO()
+    line = [*arguments, *FIRE_FLAGS]
+    try:
+        with contextlib.redirect_stderr(written):
+            result = fire.Fire(Commands(), line, PROGRAM, serialize=_nothing)
+    except FireExit as error:
+        if error.code != 0:
+            return _report_usage(_usage_message(error), environment)
+        environment.show(_help_text(written.getvalue()))
+        return ExitStatus.OK
+    if isinstance(result, Invocation):
+        return result
+    return _report_usage("a command is missing", environment)
+
+
+def _report_usage(message: str, environment: Environment) -> ExitStatus:
+    environment.report(f"{PROGRAM}: {message}; see '{PROGRAM} --help'")
+    return ExitStatus.USAGE
+
+
+def _usage_message(error: FireExit) -> str:
+    message = str(error.trace.elements[-1].ErrorAsStr())
+    if message.startswith(UNKNOWN_ARGUMENT):
+        return f"{message.removeprefix(UNKNOWN_ARGUMENT)!r} is not understood here"
+    return message
+
+
+def _help_text(text: str) -> str:
+    _, _, described = text.partition("NAME\n")
+    described, _, _ = described.partition("\nNOTES\n")
+    described = described.replace(FIRE_MARKS, "").replace("GROUP | FILE", "FILE")
+    described = described.replace(" GROUP | (none)", "")
+    statuses = "\n".join(
+        f"    {status.value:<4} {meaning}"
+        for status, meaning in MEANING_BY_STATUS.items()
+    )
+    return f"NAME\n{described.rstrip()}\n\nEXIT STATUSES\n{statuses}"
 
 
 def _status_of(error: DotterelpierError) -> ExitStatus:
@@ -61,5 +140,11 @@
     return ExitStatus.FAILURE
 
 
-def _silent(result: object) -> str | None:
-    return None if result is None else str(result)
+def _nothing(result: object) -> None:
+    return None
+
+
+def _discard_output(environment: Environment) -> None:
+    # The interpreter flushes standard output once more at exit.
+    if environment.stdout is sys.stdout:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -87,6 +87,7 @@
         entry.relay_address,
         entry.peer_address,
         lease_s=settings.lease.lease_s,
+        operator_address=entry.operator_address,
     )
 
 
--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -29,6 +29,12 @@
         return f"{self.code}: {self.message} ({where})"
 
 
+class UsageError(DotterelpierError):
+    """An argument of the command line is not valid."""
+
+    code = "usage"
+
+
 class SettingsError(DotterelpierError):
     """The settings file is malformed or a value is out of its limits."""
 
--- a/dotterelpier/exit_status.py
+++ b/dotterelpier/exit_status.py
@@ -1,5 +1,6 @@
 """Exit statuses of the command line."""
 
+from collections.abc import Mapping
 from enum import IntEnum
 
 
@@ -15,3 +16,20 @@
     NOT_ACKNOWLEDGED = 6
     PLATFORM_UNAVAILABLE = 7
     ENTRY_UNAVAILABLE = 8
+    INTERRUPTED = 130
+    OUTPUT_CLOSED = 141
+
+
+MEANING_BY_STATUS: Mapping[ExitStatus, str] = {
+    ExitStatus.OK: "done; for 'manifest apply', in force",
+    ExitStatus.FAILURE: "an error that has no status of its own",
+    ExitStatus.USAGE: "the command line is not valid",
+    ExitStatus.SETTINGS_INVALID: "the settings file is missing or not valid",
+    ExitStatus.MANIFEST_INVALID: "the manifest is missing or not valid",
+    ExitStatus.CONFLICT: "another manifest was accepted at the same moment",
+    ExitStatus.NOT_ACKNOWLEDGED: "written, but not yet acknowledged by a majority",
+    ExitStatus.PLATFORM_UNAVAILABLE: "the platform did not answer",
+    ExitStatus.ENTRY_UNAVAILABLE: "an entry did not answer",
+    ExitStatus.INTERRUPTED: "interrupted from the keyboard",
+    ExitStatus.OUTPUT_CLOSED: "the reader of the output went away",
+}
--- a/dotterelpier/frontends/operators.py
+++ b/dotterelpier/frontends/operators.py
@@ -92,6 +92,7 @@
                     member.revision,
                     self._heard_age_s(heard_by_id.get(member.id)),
                     member.leaving,
+                    member.operator_address,
                 )
                 for member in self._membership.known_by_id().values()
             ),
@@ -106,11 +107,14 @@
 
     def _backend_servers(self) -> tuple[BackendStatus, ...]:
         own_id = self._membership.me().id
+        revision = self._manifest.current()
+        declared = {} if revision is None else revision.manifest.backend_by_id
         items = []
         for backend_id, home in self._homes.assignment().home_by_backend_id.items():
             if home.entry_id != own_id:
                 continue
             bearing = self._admission.bearing(backend_id)
+            server = declared.get(backend_id)
             items.append(
                 BackendStatus(
                     backend_id,
@@ -118,6 +122,8 @@
                     bearing.in_flight,
                     _finite(self._evidence.age_s(backend_id)),
                     self._evidence.allows(backend_id),
+                    "" if server is None else server.zone,
+                    server is not None and bearing.limit < server.slots,
                 )
             )
         return tuple(items)
--- a/dotterelpier/model/membership.py
+++ b/dotterelpier/model/membership.py
@@ -29,6 +29,8 @@
         Highest assignment number in force on this entry.
     leaving : bool
         Whether the entry is in a planned stop and wants no homes.
+    operator_address : str
+        ``IP:port`` where it answers operators.
     """
 
     id: str
@@ -41,6 +43,7 @@
     revision: int = 0
     assignment: int = 0
     leaving: bool = False
+    operator_address: str = ""
 
 
 @frozen
--- a/dotterelpier/model/status.py
+++ b/dotterelpier/model/status.py
@@ -21,6 +21,10 @@
         Age of the newest evidence, in seconds; -1 if there is none.
     allowed : bool
         Whether evidence speaks for new work.
+    zone : str
+        Availability zone, empty once the manifest no longer declares the server.
+    cold : bool
+        Whether it bears fewer requests than when warm.
     """
 
     id: str
@@ -28,6 +32,8 @@
     in_flight: int
     evidence_age_s: float
     allowed: bool
+    zone: str = ""
+    cold: bool = False
 
 
 @frozen
@@ -44,6 +50,8 @@
         Age of its last heartbeat, in seconds; -1 if there is none.
     leaving : bool
         Whether it is in a planned stop.
+    operator_address : str
+        ``IP:port`` where it answers operators.
     """
 
     id: str
@@ -51,6 +59,7 @@
     revision: int
     heard_age_s: float
     leaving: bool
+    operator_address: str = ""
 
 
 @frozen
--- a/dotterelpier/wire/structure.py
+++ b/dotterelpier/wire/structure.py
@@ -1,6 +1,7 @@
 """Maps plain data to ``attrs`` classes with strict checks."""
 
 import json
+import re
 from enum import Enum
 from typing import Any, TypeVar
 
@@ -9,6 +10,9 @@
 
 T = TypeVar("T")
 
+# How the validators of attrs name the attribute that is out of its limits.
+LIMIT_FAULT = re.compile(r"'(?P<key>\w+)' (?P<message>must be .*)", re.DOTALL)
+
 
 def _make_converter() -> Converter:
     converter = Converter(forbid_extra_keys=True)
@@ -71,6 +75,9 @@
 
 def _key_first(fault: str) -> str:
     message, _, path = fault.rpartition(" @ ")
+    limit = LIMIT_FAULT.match(message)
+    if limit:
+        path, message = f"{path}.{limit['key']}", limit["message"]
     path = path.lstrip(".")
     return f"{path}: {message}" if path else message
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -123,7 +123,7 @@
     settings = str(system.entries["entry-1"].settings)
     shown = command("manifest", "show", "--settings", settings)
     assert "# revision 1" in shown.stdout
-    trail = command("audit", "--settings", settings)
+    trail = command("audit", "--json", "--settings", settings)
     assert json.loads(trail.stdout.splitlines()[0])["event"] == "manifest.apply"
 
 
