--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,12 @@
 	touch $@
 
 format: setup
-	$(PYTHON) -m ruff format dotterelpier tests bench
-	$(PYTHON) -m ruff check --fix dotterelpier tests bench
+	$(PYTHON) -m ruff format dotterelpier tests bench scripts
+	$(PYTHON) -m ruff check --fix dotterelpier tests bench scripts
 
 lint: setup
-	$(PYTHON) -m ruff format --check dotterelpier tests bench
-	$(PYTHON) -m ruff check dotterelpier tests bench
+	$(PYTHON) -m ruff format --check dotterelpier tests bench scripts
+	$(PYTHON) -m ruff check dotterelpier tests bench scripts
 
 types: setup
 	$(PYTHON) -m mypy
@@ -36,3 +36,6 @@
 
 prove: setup
 	$(PYTHON) -m tests.prove $(P)
+
+binary: setup
+	$(PYTHON) -m scripts.build_binary dist/dotterelpier
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers."""
