Ambiguous or malformed HTTP is refused as problem details and not run

Cause: waitress reads requests leniently (Content-Length beside chunks, chunks in HTTP/1.0, no Host, folded lines, other versions) and answers those it refuses with plain text and no outcome; an exception in the front end was answered alike. A header of an answer with a line break, or named Trailers, made the front end fail after the call had run.

Ruled out: a second reading of a request reaching a backend server, as every request is encoded anew with its own length.

A request must arrive whole within 60 s, so that slow senders cannot hold connections.

--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -29,6 +29,12 @@
         return f"{self.code}: {self.message} ({where})"
 
 
+class InternalError(DotterelpierError):
+    """A fault of this program; whether the request ran is not known."""
+
+    code = "internal"
+
+
 class UsageError(DotterelpierError):
     """An argument of the command line is not valid."""
 
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -1,14 +1,17 @@
 """HTTP front end for callers, and for calls that other entries relay."""
 
+import re
 import uuid
 from collections.abc import Iterable
 from urllib.parse import parse_qs, unquote
 
 from attrs import define
+from loguru import logger
 
 from dotterelpier.errors import (
     CallError,
     DotterelpierError,
+    InternalError,
     InvalidCallError,
     UnknownServiceError,
 )
@@ -54,6 +57,7 @@
 ENTRIES_PATH = "/v1/entries"
 MAX_KEY_LENGTH = 255
 MAX_PATH_LENGTH = 8192
+CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -84,7 +88,11 @@
             service = call.service
             answer = self._calls.serve(call)
         except DotterelpierError as error:
+            _log_failure(call_id, service, error)
             answer = _problem(error)
+        except Exception as error:
+            logger.exception("call failed unexpectedly", call=call_id, service=service)
+            answer = _problem(InternalError(type(error).__name__, step="callers.serve"))
         self._count(service, answer, started_at)
         return self._encode(environ, call_id, service, answer, start_response)
 
@@ -100,6 +108,10 @@
             raise _invalid("path: must start with '/' and be short")
         if ".." in segments or "." in segments or "\\" in unquote(path):
             raise _invalid("path: dot segments are not allowed")
+        if "" in segments[1:-1] or CONTROL.search(unquote(path)):
+            raise _invalid(
+                "path: empty segments and control characters are not allowed"
+            )
         return target
 
     def _decode(self, environ: Environ, call_id: str) -> Call:
@@ -217,6 +229,18 @@
     return InvalidCallError(message, step="callers.decode")
 
 
+def _log_failure(call_id: str, service: str, error: DotterelpierError) -> None:
+    logger.warning(
+        "call failed",
+        call=call_id,
+        service=service,
+        code=error.code,
+        step=error.step,
+        peer=error.peer,
+        error=error.message,
+    )
+
+
 def _problem(error: DotterelpierError) -> Answer:
     outcome = problem_outcome(error)
     if not isinstance(error, CallError):
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -9,6 +9,7 @@
 from waitress.server import create_server
 
 from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.protocols import TaskKind, Tasks
 
 Environ = dict[str, Any]
@@ -18,7 +19,11 @@
 # Buffers stay in memory: the VMs have no disks.
 IN_MEMORY_BYTES = 1 << 30
 CONNECTION_LIMIT = 4096
+
+# A request must arrive whole within this time, else its connection is closed; idle
+# connections are closed after it.
 CHANNEL_TIMEOUT_S = 60
+CLEANUP_INTERVAL_S = 15
 BACKLOG = 2048
 
 
@@ -48,6 +53,7 @@
             backlog=BACKLOG,
             connection_limit=CONNECTION_LIMIT,
             channel_timeout=CHANNEL_TIMEOUT_S,
+            cleanup_interval=CLEANUP_INTERVAL_S,
             max_request_body_size=self._max_body_bytes + 1,
             max_request_header_size=self._max_header_bytes,
             inbuf_overflow=IN_MEMORY_BYTES,
@@ -56,6 +62,7 @@
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
         )
+        self._server.channel_class = StrictChannel
         self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
     def stop(self) -> None:
--- a/dotterelpier/log.py
+++ b/dotterelpier/log.py
@@ -1,6 +1,7 @@
 """Logs as JSON lines."""
 
 import json
+import logging
 import threading
 import time
 from typing import TYPE_CHECKING, TextIO
@@ -15,6 +16,7 @@
 MAX_LINES_PER_PLACE = 20
 INTERVAL_S = 1.0
 MAX_VALUE_CHARACTERS = 500
+LIBRARY_LEVEL = logging.WARNING
 
 
 @define
@@ -67,6 +69,16 @@
             return suppressed
 
 
+class LibraryHandler(logging.Handler):
+    """Passes records of libraries on, so that they become JSON lines too."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        logger.opt(exception=record.exc_info).bind(library=record.name).log(
+            record.levelname, record.getMessage()
+        )
+
+
 def configure_log(level: str, stream: TextIO) -> None:
     """Write records of this level and above to a stream.
 
@@ -79,6 +91,7 @@
     """
     logger.remove()
     logger.add(JsonLines(stream).write, level=level, format="{message}", catch=True)
+    logging.basicConfig(handlers=[LibraryHandler()], level=LIBRARY_LEVEL, force=True)
 
 
 def _line(record: "Record") -> dict[str, object]:
--- a/dotterelpier/wire/backend.py
+++ b/dotterelpier/wire/backend.py
@@ -1,5 +1,6 @@
 """Headers exchanged with backend servers and with relaying entries."""
 
+import re
 from collections.abc import Iterable, Mapping
 
 from dotterelpier.model.call import Attempt, Headers
@@ -27,6 +28,7 @@
         "proxy-connection",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
         "content-length",
@@ -38,6 +40,11 @@
 )
 OWN_PREFIX = "dotterelpier-"
 
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+# A folded header line, or one that would begin another (RFC 9112, section 5.2).
+LINE_BREAK = re.compile(r"[\r\n\0][\r\n\0 \t]*")
+
 
 def forwardable(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the end-to-end headers, without those that this system sets."""
@@ -49,9 +56,10 @@
         for token in value.split(",")
     }
     return tuple(
-        (name, value)
+        (name, LINE_BREAK.sub(" ", value))
         for name, value in headers
-        if name.lower() not in NOT_FORWARDED
+        if HEADER_NAME.fullmatch(name)
+        and name.lower() not in NOT_FORWARDED
         and name.lower() not in named
         and not name.lower().startswith(OWN_PREFIX)
     )
--- a/dotterelpier/wire/problem.py
+++ b/dotterelpier/wire/problem.py
@@ -56,12 +56,12 @@
     return Outcome.UNKNOWN
 
 
-def problem_body(error: DotterelpierError) -> bytes:
-    """Return an error as problem details."""
+def problem_body(error: DotterelpierError, status: int | None = None) -> bytes:
+    """Return an error as problem details, with its usual HTTP status by default."""
     details = {
         "type": "about:blank",
         "title": error.code.replace("_", " "),
-        "status": problem_status(error),
+        "status": problem_status(error) if status is None else status,
         "detail": error.message,
         "code": error.code,
         "step": error.step,
