--- a/dotterelpier/clients/relays.py
+++ b/dotterelpier/clients/relays.py
@@ -18,6 +18,7 @@
 from dotterelpier.protocols import (
     Clock,
     Relays,
+    Routing,
     ServiceName,
     TaskKind,
     Tasks,
@@ -45,6 +46,7 @@
 
     _pool: ConnectionPool
     _clock: Clock
+    _routing: Routing
     _own_id: str
 
     def start(self) -> None:
@@ -71,19 +73,25 @@
             HttpRequest(call.method, f"/{call.service}{call.path}", headers, call.body),
             call.deadline_at,
             MAX_ANSWER_BYTES,
-            decode=lambda answer: _decode(answer, call, member),
+            decode=lambda answer: self._decode(answer, call, member),
             on_cancel=lambda: None,
         )
         self._pool.send(member.relay_address, exchange, fresh=False)
         return exchange.answer
 
+    def _decode(self, received: HttpAnswer, call: Call, member: Member) -> Answer:
+        answer_id = received.headers.get(ATTEMPT_HEADER)
+        if answer_id != call.id:
+            message = f"answer to call {answer_id!r}, not {call.id!r}"
+            raise AnswerLostError(message, step="relay.answer", peer=member.id)
+        load = read_service_load(received.headers.get(LOAD_HEADER, ""))
+        if load is not None:
+            self._routing.learn(member.id, call.service, load)
+        return _decode(received, member)
 
-def _decode(received: HttpAnswer, call: Call, member: Member) -> Answer:
+
+def _decode(received: HttpAnswer, member: Member) -> Answer:
     headers = received.headers
-    load = read_service_load(headers.get(LOAD_HEADER, ""))
-    if headers.get(ATTEMPT_HEADER) != call.id:
-        message = f"answer to call {headers.get(ATTEMPT_HEADER)!r}, not {call.id!r}"
-        raise AnswerLostError(message, step="relay.answer", peer=member.id)
     outcome = headers.get(OUTCOME_HEADER)
     if outcome == Outcome.NOT_RUN:
         message = f"relay refused with status {received.status}"
@@ -95,7 +103,6 @@
         forwardable(headers.items()),
         received.body,
         peer=member.id,
-        peer_load=load,
     )
 
 
@@ -110,4 +117,5 @@
         kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.TIMER, Timer),
     )
-    return RelayClient(pool, clock, own_id)
+    routing = kernel.find(ServiceName.ROUTING, Routing)
+    return RelayClient(pool, clock, routing, own_id)
--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -17,7 +17,7 @@
 from dotterelpier.frontends.peers import make_peer_frontend
 from dotterelpier.kernel import Kernel, make_kernel
 from dotterelpier.model.membership import Member
-from dotterelpier.protocols import Drain, ServiceName
+from dotterelpier.protocols import Drain, Membership, ServiceName
 from dotterelpier.services.admission import make_admission
 from dotterelpier.services.audit import make_audit
 from dotterelpier.services.calls import make_calls
@@ -30,9 +30,14 @@
 from dotterelpier.services.manifest import make_manifest_keeper
 from dotterelpier.services.membership import make_membership
 from dotterelpier.services.metrics import make_metrics
+from dotterelpier.services.pulling import make_pulling
 from dotterelpier.services.routing import make_routing
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.services.timer import make_timer
+from dotterelpier.services.unshared import (
+    make_every_entry_homes,
+    make_unshared_admission,
+)
 from dotterelpier.settings import EntrySettings, Settings
 
 
@@ -105,8 +110,6 @@
     kernel.register(ServiceName.PEERS, make_peers(own_id))
     backends = make_backends(kernel, settings.limits)
     kernel.register(ServiceName.BACKENDS, backends, (timer,))
-    relays = make_relays(kernel, settings.limits, own_id)
-    kernel.register(ServiceName.RELAYS, relays, (timer,))
 
 
 def _register_control(kernel: Kernel, settings: Settings, me: Member) -> None:
@@ -119,7 +122,10 @@
     )
     manifest = make_manifest_keeper(kernel, poll_s)
     kernel.register(ServiceName.MANIFEST, manifest, (ServiceName.MEMBERSHIP,))
-    homes = make_homes(kernel, poll_s)
+    if settings.routing.policy == "homes":
+        homes = make_homes(kernel, poll_s)
+    else:
+        homes = make_every_entry_homes(kernel)
     kernel.register(ServiceName.HOMES, homes, (ServiceName.MANIFEST,))
 
 
@@ -127,10 +133,20 @@
     evidence = make_evidence(kernel)
     needs = (ServiceName.HOMES, ServiceName.BACKENDS)
     kernel.register(ServiceName.EVIDENCE, evidence, needs)
-    admission = make_admission(kernel)
+    policy = settings.routing.policy
+    if policy == "homes":
+        admission = make_admission(kernel)
+    else:
+        admission = make_unshared_admission(kernel, policy)
     kernel.register(ServiceName.ADMISSION, admission, (ServiceName.EVIDENCE,))
     routing = make_routing(kernel)
     kernel.register(ServiceName.ROUTING, routing, (ServiceName.MEMBERSHIP,))
+    own_id = kernel.find(ServiceName.MEMBERSHIP, Membership).me().id
+    relays = make_relays(kernel, settings.limits, own_id)
+    kernel.register(ServiceName.RELAYS, relays, (ServiceName.ROUTING,))
+    pulling = make_pulling(kernel)
+    needs = (ServiceName.ADMISSION, ServiceName.RELAYS)
+    kernel.register(ServiceName.PULLING, pulling, needs)
     kernel.register(ServiceName.CLAIMS, make_claims(kernel), (ServiceName.MANIFEST,))
     kernel.register(
         ServiceName.CALLS,
--- a/dotterelpier/model/call.py
+++ b/dotterelpier/model/call.py
@@ -6,7 +6,6 @@
 from attrs import field, frozen
 
 from dotterelpier.model.evidence import LoadReport
-from dotterelpier.model.membership import ServiceLoad
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -79,8 +78,6 @@
         Id of the backend server or entry that answered.
     report : LoadReport or None
         Load report of the backend server.
-    peer_load : ServiceLoad or None
-        Load of the service on the entry that relayed the answer.
     """
 
     status: int
@@ -90,7 +87,6 @@
     outcome: Outcome = Outcome.ANSWERED
     peer: str = ""
     report: LoadReport | None = None
-    peer_load: ServiceLoad | None = None
 
 
 @frozen
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -46,6 +46,7 @@
     EVIDENCE = "evidence"
     ADMISSION = "admission"
     ROUTING = "routing"
+    PULLING = "pulling"
     BACKENDS = "backends"
     RELAYS = "relays"
     CLAIMS = "claims"
@@ -64,6 +65,7 @@
     TIMER = "timer"
     CONTROL = "control"
     PEER = "peer"
+    OFFER = "offer"
     HANDOVER = "handover"
     MEASURE = "measure"
     BACKEND_CONNECTION = "backend_connection"
@@ -463,6 +465,33 @@
         """Take in the load that a peer reported with a relayed answer."""
         ...
 
+    def note_refused(self, member_id: str, service: str) -> None:
+        """Take in that a peer's call found no slot here and waits there."""
+        ...
+
+    def note_none_waiting(self, member_id: str, service: str) -> None:
+        """Take in that a peer did not need a slot offered to it."""
+        ...
+
+    def take_waiting_peer(self, service: str) -> Member | None:
+        """Return the member known to hold most waiting calls, or None.
+
+        One call less counts as waiting there afterwards.
+        """
+        ...
+
+    def load_of(self, member_id: str, service: str) -> ServiceLoad | None:
+        """Return the last load known of a peer, or None."""
+        ...
+
+
+class Pulling(Protocol):
+    """Lets peers pull their waiting calls to slots that come free here."""
+
+    def offer(self, service: str) -> None:
+        """Offer a free slot of a service to a peer whose calls wait, if any."""
+        ...
+
 
 class Claims(Protocol):
     """Idempotency keys, claimed before anything is sent."""
@@ -563,3 +592,14 @@
     def choose(self, free_by_id: dict[str, int]) -> str | None:
         """Return the id of the chosen candidate, or None if there is none."""
         ...
+
+
+@runtime_checkable
+class ServerPolicy(Protocol):
+    """Chooses a backend server where entries share nothing."""
+
+    def choose(
+        self, servers: list[BackendServer], load_by_id: dict[str, int]
+    ) -> BackendServer:
+        """Return one of the servers, given the requests counted at each."""
+        ...
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -153,6 +153,7 @@
         if slot is not None:
             return self._send(call, slot, once)
         if call.relayed_by:
+            self._routing.note_refused(call.relayed_by, call.service)
             raise OverloadedError("no slot is free here", step="calls.relayed")
         answer = self._relay_to_free_home(call, excluded)
         if answer is not None:
@@ -203,10 +204,7 @@
             pending = self._relays.relay(member, call)
         except TaskPoolFullError as error:
             raise OverloadedError(error.message, step="calls.relay") from None
-        answer = pending.result()
-        if answer.peer_load is not None:
-            self._routing.learn(member.id, call.service, answer.peer_load)
-        return answer
+        return pending.result()
 
     def _send(self, call: Call, slot: Slot, once: bool) -> Answer:
         server = slot.server
--- a/dotterelpier/services/directory.py
+++ b/dotterelpier/services/directory.py
@@ -6,12 +6,14 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.directory import DirectoryAnswer, DirectoryEntry
 from dotterelpier.model.manifest import Manifest
-from dotterelpier.model.membership import Member
+from dotterelpier.model.membership import Member, ServiceLoad
 from dotterelpier.protocols import (
+    Admission,
     Directory,
     Homes,
     ManifestKeeper,
     Membership,
+    Routing,
     ServiceName,
 )
 from dotterelpier.settings import DirectorySettings
@@ -25,6 +27,8 @@
     _manifest: ManifestKeeper
     _membership: Membership
     _homes: Homes
+    _admission: Admission
+    _routing: Routing
 
     def entries(self, service: str) -> DirectoryAnswer:
         """Return the entries for a service."""
@@ -51,6 +55,19 @@
         return DirectoryAnswer(service, entries, self._settings.max_age_s)
 
     def _weight_by_id(self, manifest: Manifest, service: str) -> dict[str, int]:
+        weight_by_id = self._declared_slots_by_id(manifest, service)
+        for member_id in weight_by_id:
+            load = self._load(member_id, service)
+            if load is not None:
+                weight_by_id[member_id] = load.slots
+        return weight_by_id
+
+    def _load(self, member_id: str, service: str) -> ServiceLoad | None:
+        if member_id == self._membership.me().id:
+            return self._admission.load_by_service().get(service)
+        return self._routing.load_of(member_id, service)
+
+    def _declared_slots_by_id(self, manifest: Manifest, service: str) -> dict[str, int]:
         weight_by_id: dict[str, int] = {}
         for backend_id, home in self._homes.assignment().home_by_backend_id.items():
             server = manifest.backend_by_id.get(backend_id)
@@ -83,4 +100,6 @@
         kernel.find(ServiceName.MANIFEST, ManifestKeeper),
         kernel.find(ServiceName.MEMBERSHIP, Membership),
         kernel.find(ServiceName.HOMES, Homes),
+        kernel.find(ServiceName.ADMISSION, Admission),
+        kernel.find(ServiceName.ROUTING, Routing),
     )
--- /dev/null
+++ b/dotterelpier/services/pulling.py
@@ -0,0 +1,116 @@
+"""Offers slots that come free here to peers whose calls wait."""
+
+import threading
+from queue import SimpleQueue
+
+from attrs import define, field
+from loguru import logger
+
+from dotterelpier.errors import PeerUnavailableError, TaskPoolFullError
+from dotterelpier.kernel import Kernel
+from dotterelpier.model.membership import Member, SlotOffer
+from dotterelpier.protocols import (
+    Admission,
+    Membership,
+    Peers,
+    Pulling,
+    Routing,
+    ServiceName,
+    TaskKind,
+    Tasks,
+    Timer,
+)
+
+RESERVATION_S = 1.0
+
+
+@define
+class SlotPulling:
+    """Reserves a free slot for the peer that holds most waiting calls.
+
+    A slot that comes free is reserved under a token and offered; the peer relays
+    a waiting call with the token. One task for each peer makes the offers.
+    """
+
+    _timer: Timer
+    _tasks: Tasks
+    _membership: Membership
+    _admission: Admission
+    _routing: Routing
+    _peers: Peers
+    _offers_by_peer_id: dict[str, "SimpleQueue[SlotOffer | None]"] = field(factory=dict)
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def start(self) -> None:
+        """Start to follow free slots."""
+        self._admission.subscribe_free(self.offer)
+
+    def stop(self) -> None:
+        """End the tasks of all peers."""
+        with self._lock:
+            queues = tuple(self._offers_by_peer_id.values())
+        for offers in queues:
+            offers.put(None)
+
+    def offer(self, service: str) -> None:
+        """Offer a free slot of a service to a peer whose calls wait, if any."""
+        member = self._routing.take_waiting_peer(service)
+        if member is None:
+            return
+        reserved = self._admission.reserve(service)
+        if reserved is None:
+            return
+        _, reservation = reserved
+        self._timer.after(RESERVATION_S, lambda: self._release(reservation))
+        offer = SlotOffer(self._membership.me().id, service, reservation)
+        try:
+            self._offers_for(member).put(offer)
+        except TaskPoolFullError as error:
+            logger.warning("slot not offered", peer=member.id, error=str(error))
+            self._release(reservation)
+
+    def _offers_for(self, member: Member) -> "SimpleQueue[SlotOffer | None]":
+        with self._lock:
+            self._end_tasks_of_gone_peers()
+            offers = self._offers_by_peer_id.get(member.id)
+            if offers is None:
+                offers = SimpleQueue()
+                self._tasks.submit(TaskKind.OFFER, self._serve_peer, member, offers)
+                self._offers_by_peer_id[member.id] = offers
+            return offers
+
+    def _end_tasks_of_gone_peers(self) -> None:
+        gone_ids = self._offers_by_peer_id.keys() - self._membership.known_by_id()
+        for member_id in gone_ids:
+            self._offers_by_peer_id.pop(member_id).put(None)
+
+    def _serve_peer(
+        self, member: Member, offers: "SimpleQueue[SlotOffer | None]"
+    ) -> None:
+        while (offer := offers.get()) is not None:
+            try:
+                taken = self._peers.offer_slot(member, offer)
+            except PeerUnavailableError as error:
+                # The peer may have taken it, so the reservation stays until it ends.
+                logger.debug("offer not answered", peer=member.id, error=str(error))
+                continue
+            if not taken:
+                self._routing.note_none_waiting(member.id, offer.service)
+                self._release(offer.reservation)
+
+    def _release(self, reservation: str) -> None:
+        slot = self._admission.redeem(reservation)
+        if slot is not None:
+            self._admission.release(slot)
+
+
+def make_pulling(kernel: Kernel) -> Pulling:
+    """Return the offers of free slots to peers."""
+    return SlotPulling(
+        kernel.find(ServiceName.TIMER, Timer),
+        kernel.find(ServiceName.TASKS, Tasks),
+        kernel.find(ServiceName.MEMBERSHIP, Membership),
+        kernel.find(ServiceName.ADMISSION, Admission),
+        kernel.find(ServiceName.ROUTING, Routing),
+        kernel.find(ServiceName.PEERS, Peers),
+    )
--- a/dotterelpier/services/routing.py
+++ b/dotterelpier/services/routing.py
@@ -27,7 +27,11 @@
 
 @define
 class LoadRouting:
-    """Keeps the last load heard of each peer, less what was sent there since."""
+    """Keeps the last load heard of each peer, and what changed it since.
+
+    A call sent to a peer takes one of its free slots; a call of a peer that was
+    refused here waits there.
+    """
 
     _membership: Membership
     _policy: Policy
@@ -44,26 +48,26 @@
         """Do nothing."""
 
     def choose_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
-        """Return a member likely to have a slot free, or None."""
-        member_by_id = {
-            status.member.id: status.member
-            for status in self._membership.peers()
-            if status.member.id not in excluded
-            and not (status.heartbeat and status.heartbeat.leaving)
-        }
+        """Return a member likely to have a slot free, or None.
+
+        Where none is known to, any other home may be returned: its refusal tells
+        it that a call waits here.
+        """
+        member_by_id = self._usable_peers(excluded)
         with self._lock:
-            free_by_id = {
-                member_id: load.free_slots
+            load_by_id = {
+                member_id: load
                 for member_id in member_by_id
                 if (load := self._load_by_member_and_service.get((member_id, service)))
             }
+            free_by_id = {key: load.free_slots for key, load in load_by_id.items()}
             chosen = self._policy.choose(free_by_id)
+            if chosen is None:
+                slots_by_id = {key: load.slots for key, load in load_by_id.items()}
+                chosen = self._policy.choose(slots_by_id)
             if chosen is None:
                 return None
-            load = self._load_by_member_and_service[chosen, service]
-            self._load_by_member_and_service[chosen, service] = evolve(
-                load, free_slots=load.free_slots - 1
-            )
+            self._change(chosen, service, free_slots=-1)
         return member_by_id[chosen]
 
     def learn(self, member_id: str, service: str, load: ServiceLoad) -> None:
@@ -71,6 +75,59 @@
         with self._lock:
             self._load_by_member_and_service[member_id, service] = load
 
+    def note_refused(self, member_id: str, service: str) -> None:
+        """Take in that a peer's call found no slot here and waits there."""
+        with self._lock:
+            self._change(member_id, service, waiting=1)
+
+    def note_none_waiting(self, member_id: str, service: str) -> None:
+        """Take in that a peer did not need a slot offered to it."""
+        with self._lock:
+            load = self._load_by_member_and_service.get((member_id, service))
+            if load is not None:
+                self._change(member_id, service, waiting=-load.waiting)
+
+    def take_waiting_peer(self, service: str) -> Member | None:
+        """Return the member known to hold most waiting calls, or None."""
+        with self._lock:
+            waiting_by_id = {
+                member_id: load.waiting
+                for (member_id, name), load in self._load_by_member_and_service.items()
+                if name == service and load.waiting > 0
+            }
+        if not waiting_by_id:
+            return None
+        member_by_id = self._usable_peers(frozenset())
+        candidates = waiting_by_id.keys() & member_by_id.keys()
+        if not candidates:
+            return None
+        chosen = max(candidates, key=lambda member_id: waiting_by_id[member_id])
+        with self._lock:
+            self._change(chosen, service, waiting=-1)
+        return member_by_id[chosen]
+
+    def load_of(self, member_id: str, service: str) -> ServiceLoad | None:
+        """Return the last load known of a peer, or None."""
+        return self._load_by_member_and_service.get((member_id, service))
+
+    def _usable_peers(self, excluded: frozenset[str]) -> dict[str, Member]:
+        return {
+            status.member.id: status.member
+            for status in self._membership.peers()
+            if status.member.id not in excluded
+            and not (status.heartbeat and status.heartbeat.leaving)
+        }
+
+    def _change(
+        self, member_id: str, service: str, *, free_slots: int = 0, waiting: int = 0
+    ) -> None:
+        load = self._load_by_member_and_service.get((member_id, service), ServiceLoad())
+        self._load_by_member_and_service[member_id, service] = evolve(
+            load,
+            free_slots=max(0, load.free_slots + free_slots),
+            waiting=max(0, load.waiting + waiting),
+        )
+
     def _on_heartbeat(self, member: Member, heartbeat: Heartbeat) -> None:
         for service, load in heartbeat.load_by_service.items():
             self.learn(member.id, service, load)
--- a/dotterelpier/services/tasks.py
+++ b/dotterelpier/services/tasks.py
@@ -83,6 +83,7 @@
             TaskKind.TIMER: 1,
             TaskKind.CONTROL: CONTROL_THREADS,
             TaskKind.PEER: limits.peers,
+            TaskKind.OFFER: limits.peers,
             TaskKind.HANDOVER: limits.measured,
             TaskKind.MEASURE: limits.measured,
             TaskKind.BACKEND_CONNECTION: limits.backend_connections,
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -10,6 +10,7 @@
 from dotterelpier.wire.manifest_toml import is_address
 from dotterelpier.wire.structure import structure
 
+POLICIES = ("homes", "two_choices", "round_robin")
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -128,7 +129,22 @@
     """
 
     max_age_s: int = field(default=5, validator=[ge(1), le(3600)])
-    max_entries: int = field(default=8, validator=[ge(2), le(64)])
+    max_entries: int = field(default=32, validator=[ge(2), le(64)])
+
+
+@frozen
+class RoutingSettings:
+    """Choice of a backend server for a call.
+
+    Attributes
+    ----------
+    policy : str
+        ``homes``: each backend server has one entry that alone sends to it.
+        ``two_choices`` and ``round_robin``: each entry sends to all, and chooses
+        by itself; without the promises about cold starts and measuring.
+    """
+
+    policy: str = field(default="homes", validator=in_(POLICIES))
 
 
 @frozen
@@ -161,6 +177,7 @@
     lease: LeaseSettings = Factory(LeaseSettings)
     limits: LimitSettings = Factory(LimitSettings)
     directory: DirectorySettings = Factory(DirectorySettings)
+    routing: RoutingSettings = Factory(RoutingSettings)
     log: LogSettings = Factory(LogSettings)
 
 
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -47,6 +47,9 @@
     server: BackendServer
     service_s: float = SERVICE_S
     sigma: float = 0.0
+    draw_seed: int | None = None
+    zone_s: float = 0.0
+    queueing: bool = False
     probe_s: float = 0.0
     warm: bool = True
     leaving: bool = False
@@ -56,6 +59,7 @@
     lying_load: bool = False
     boot_id: str = field(factory=lambda: uuid.uuid4().hex[:8])
     in_flight: int = 0
+    running: int = 0
     peak_cold: int = 0
     peak_warm: int = 0
     runs_since_boot: int = 0
@@ -109,11 +113,31 @@
             if self.runs_since_boot >= WARM_AFTER_RUNS:
                 self.warm = True
 
-    def work(self, attempt: str, deadline_unix: float) -> bool:
+    def wait_for_slot(self) -> None:
+        """Wait until one of the server's slots is free, if it queues at all."""
+        with self.condition:
+            while self.queueing and self.running >= self.server.slots:
+                self.condition.wait()
+            self.running += 1
+
+    def free_slot(self) -> None:
+        """Give the slot back."""
+        with self.condition:
+            self.running -= 1
+            if self.queueing:
+                self.condition.notify_all()
+
+    def draw_work_s(self, path: str) -> float:
+        """Return the service time of a request in seconds."""
+        if not self.sigma:
+            return self.service_s
+        if self.draw_seed is None:
+            return self.service_s * self.draw.lognormvariate(0.0, self.sigma)
+        return self.service_s * work_factor(path, self.draw_seed, self.sigma)
+
+    def work(self, attempt: str, deadline_unix: float, path: str = "") -> bool:
         """Spend the service time; return False if cancelled."""
-        work_s = self.service_s
-        if self.sigma:
-            work_s *= self.draw.lognormvariate(0.0, self.sigma)
+        work_s = self.draw_work_s(path)
         end_at = min(time.time() + work_s, deadline_unix)
         with self.condition:
             while attempt not in self.cancelled:
@@ -131,6 +155,12 @@
             self.condition.notify_all()
 
 
+def work_factor(path: str, seed: int, sigma: float) -> float:
+    """Return a log-normal factor of mean 1 that depends on path and seed only."""
+    draw = random.Random(f"{seed}{path}")
+    return draw.lognormvariate(-sigma * sigma / 2, sigma)
+
+
 def make_handler(state: BackendState) -> type[StandInHandler]:
     """Return a handler class bound to one backend server."""
 
@@ -193,7 +223,12 @@
                     time.sleep(1.0)
                     self.close_connection = True
                     return
-                run.cancelled = not state.work(attempt, deadline)
+                state.wait_for_slot()
+                try:
+                    run.cancelled = not state.work(attempt, deadline, self.path)
+                finally:
+                    state.free_slot()
+                time.sleep(state.zone_s)
             finally:
                 state.leave()
                 run.ended_at = time.monotonic()
@@ -271,14 +306,26 @@
     sigma: float = 0.0,
     probe_s: float = 0.0,
     cold: bool = False,
+    draw_seed: int | None = None,
+    zone_s: float = 0.0,
+    queueing: bool = False,
+    part: int = 0,
+    parts: int = 1,
 ) -> None:
-    """Serve all backend servers of a manifest until killed."""
+    """Serve the backend servers of a manifest, or one part of them, until killed."""
     declared = read_manifest(Path(manifest).read_text(encoding="utf-8"), manifest)
     state_by_id = {
         server.id: BackendState(
-            server, service_s=service_s, sigma=sigma, probe_s=probe_s, warm=not cold
+            server,
+            service_s=service_s,
+            sigma=sigma,
+            probe_s=probe_s,
+            warm=not cold,
+            draw_seed=draw_seed,
+            zone_s=zone_s,
+            queueing=queueing,
         )
-        for server in declared.backend_servers
+        for server in declared.backend_servers[part::parts]
     }
     for state in state_by_id.values():
         start_backend(state)
