--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -394,8 +394,25 @@
         """Give a slot offered by a peer to a waiting call, if there is one."""
         ...
 
-    def redeem(self, reservation: str) -> Slot | None:
-        """Return the slot reserved under a token, once."""
+    def reserve(self, service: str) -> tuple[Slot, str] | None:
+        """Hold a free slot that no call here waits for, under a new token.
+
+        The slot is free again unless it is redeemed within a second. Returns None
+        if no slot is free or calls wait here.
+        """
+        ...
+
+    def redeem(
+        self, reservation: str, deadline_at: float = float("inf")
+    ) -> Slot | None:
+        """Return the slot reserved under a token, once, for a call with a deadline."""
+        ...
+
+    def subscribe_free(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with a service that has a slot free and nobody waiting.
+
+        The listener runs on the thread that freed the slot and must not block.
+        """
         ...
 
     def bearing(self, backend_id: str) -> HandoverState:
--- a/dotterelpier/services/admission.py
+++ b/dotterelpier/services/admission.py
@@ -2,8 +2,9 @@
 
 import itertools
 import threading
+import uuid
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 
 from attrs import define, field
@@ -27,8 +28,11 @@
     ManifestKeeper,
     Membership,
     ServiceName,
+    Timer,
 )
 
+RESERVATION_S = 1.0
+
 
 @define(eq=False)
 class _Gate:
@@ -76,10 +80,12 @@
     _homes: Homes
     _evidence: Evidence
     _manifest: ManifestKeeper
+    _timer: Timer
     _gate_by_id: dict[str, _Gate] = field(factory=dict)
     _waiting_by_service: dict[str, deque["Future[Slot]"]] = field(factory=dict)
     _slot_ids: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
     _reserved_by_token: dict[str, Slot] = field(factory=dict)
+    _free_listeners: list[Callable[[str], None]] = field(factory=list)
     _lock: threading.RLock = field(factory=threading.RLock)
 
     def start(self) -> None:
@@ -158,10 +164,35 @@
         )
         return self._give_to_waiting(offer.service, slot)
 
-    def redeem(self, reservation: str) -> Slot | None:
-        """Return the slot reserved under a token, once."""
+    def reserve(self, service: str) -> tuple[Slot, str] | None:
+        """Hold a free slot that no call here waits for, under a new token."""
+        with self._lock:
+            if self._waiting_by_service.get(service):
+                return None
+            expires_at = self._clock.monotonic() + RESERVATION_S
+            slot = self.try_acquire(service, frozenset(), expires_at)
+            if slot is None:
+                return None
+            token = uuid.uuid4().hex
+            self._reserved_by_token[token] = slot
+        self._timer.after(RESERVATION_S, lambda: self._expire(token))
+        return slot, token
+
+    def redeem(
+        self, reservation: str, deadline_at: float = float("inf")
+    ) -> Slot | None:
+        """Return the slot reserved under a token, once, for a call with a deadline."""
         with self._lock:
-            return self._reserved_by_token.pop(reservation, None)
+            slot = self._reserved_by_token.pop(reservation, None)
+            if slot is not None and slot.server is not None:
+                gate = self._gate_by_id[slot.server.id]
+                gate.deadline_by_slot_id[slot.id] = deadline_at
+            return slot
+
+    def subscribe_free(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with a service that has a slot free and nobody waiting."""
+        with self._lock:
+            self._free_listeners.append(listener)
 
     def bearing(self, backend_id: str) -> HandoverState:
         """Return what a backend server bears and has in flight from here."""
@@ -201,6 +232,11 @@
             if waiting is not None and future in waiting:
                 waiting.remove(future)
 
+    def _expire(self, token: str) -> None:
+        slot = self.redeem(token)
+        if slot is not None:
+            self.release(slot)
+
     def _grant_waiting(self, service: str) -> None:
         while self._waiting_by_service.get(service):
             slot = self.try_acquire(service, frozenset(), float("inf"))
@@ -208,7 +244,15 @@
                 return
             if not self._give_to_waiting(service, slot):
                 self._cancel_slot(slot)
+        self._tell_free(service)
+
+    def _tell_free(self, service: str) -> None:
+        with self._lock:
+            listeners = tuple(self._free_listeners)
+            if not listeners or not self._load(service).free_slots:
                 return
+        for listener in listeners:
+            listener(service)
 
     def _give_to_waiting(self, service: str, slot: Slot) -> bool:
         while True:
@@ -278,6 +322,7 @@
         kernel.find(ServiceName.HOMES, Homes),
         kernel.find(ServiceName.EVIDENCE, Evidence),
         kernel.find(ServiceName.MANIFEST, ManifestKeeper),
+        kernel.find(ServiceName.TIMER, Timer),
     )
     membership = kernel.find(ServiceName.MEMBERSHIP, Membership)
     membership.report_loads_from(admission.load_by_service)
