--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 
 prove: setup
 	$(PYTHON) -m tests.prove $(P)
+
+bench: setup
+	$(PYTHON) -m bench.run
+
+bench-quick: setup
+	$(PYTHON) -m bench.run --quick
--- a/bench/system.py
+++ b/bench/system.py
@@ -91,6 +91,24 @@
         address = self._control_address_by_backend_id[backend_id]
         post_json(address, f"/faults/{backend_id}", faults)
 
+    def apply_zone_state(self, state: str) -> None:
+        """Apply the manifest with its first zone in this state."""
+        text = self.system.manifest_file.read_text(encoding="utf-8")
+        zone = self.system.manifest.zones[0].name
+        head, mark, tail = text.partition(f'name = "{zone}"')
+        file = self.system.folder / f"zone-{state}.toml"
+        file.write_text(head + mark + tail.replace('"in"', f'"{state}"', 1))
+        applied = self.system.apply(file)
+        if applied.returncode:
+            print(applied.stderr or applied.stdout, file=sys.stderr)
+
+    def set_zone_failing(self, failing: bool) -> None:
+        """Let the backend servers of the first zone reset every request, or not."""
+        zone = self.system.manifest.zones[0].name
+        for server in self.system.manifest.backend_servers:
+            if server.zone == zone:
+                self.faults(server.id, failing=failing)
+
     def peaks(self) -> dict[str, Any]:
         """Return the counts of all backend servers."""
         addresses = sorted(set(self._control_address_by_backend_id.values()))
--- a/dotterelpier/services/pulling.py
+++ b/dotterelpier/services/pulling.py
@@ -18,11 +18,8 @@
     ServiceName,
     TaskKind,
     Tasks,
-    Timer,
 )
 
-RESERVATION_S = 1.0
-
 
 @define
 class SlotPulling:
@@ -32,7 +29,6 @@
     a waiting call with the token. One task for each peer makes the offers.
     """
 
-    _timer: Timer
     _tasks: Tasks
     _membership: Membership
     _admission: Admission
@@ -61,7 +57,6 @@
         if reserved is None:
             return
         _, reservation = reserved
-        self._timer.after(RESERVATION_S, lambda: self._release(reservation))
         offer = SlotOffer(self._membership.me().id, service, reservation)
         try:
             self._offers_for(member).put(offer)
@@ -107,7 +102,6 @@
 def make_pulling(kernel: Kernel) -> Pulling:
     """Return the offers of free slots to peers."""
     return SlotPulling(
-        kernel.find(ServiceName.TIMER, Timer),
         kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.MEMBERSHIP, Membership),
         kernel.find(ServiceName.ADMISSION, Admission),
--- a/dotterelpier/services/unshared.py
+++ b/dotterelpier/services/unshared.py
@@ -176,7 +176,9 @@
         """Refuse: no call waits here."""
         return False
 
-    def redeem(self, reservation: str) -> Slot | None:
+    def redeem(
+        self, reservation: str, deadline_at: float = float("inf")
+    ) -> Slot | None:
         """Return None: nothing is reserved."""
         return None
 
