--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -430,8 +430,13 @@
         """Future of the answer; fails with a ``CallError``."""
         ...
 
+    @property
+    def ended(self) -> "Future[Any]":
+        """Future that is done once the other side no longer works on the attempt."""
+        ...
+
     def cancel(self) -> None:
-        """Ask the backend server to stop; the future ends all the same."""
+        """Ask the other side to stop; the futures end all the same."""
         ...
 
 
@@ -466,8 +471,14 @@
 class Relays(Protocol):
     """Connections to other entries that take relayed calls."""
 
-    def relay(self, member: Member, call: Call) -> "Future[Answer]":
-        """Relay a call; the future fails with a ``CallError``."""
+    def relay(self, member: Member, attempt: Attempt) -> Exchange:
+        """Relay a call; the answer fails with a ``CallError``.
+
+        Raises
+        ------
+        TaskPoolFullError
+            If no more connections may be opened; nothing was sent.
+        """
         ...
 
 
@@ -478,6 +489,13 @@
         """Return a member likely to have a slot free, or None."""
         ...
 
+    def choose_busy_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
+        """Return a home of the service that is not known to have a slot free.
+
+        Its refusal of a call tells it that the call waits here.
+        """
+        ...
+
     def learn(self, member_id: str, service: str, load: ServiceLoad) -> None:
         """Take in the load that a peer reported with a relayed answer."""
         ...
--- a/dotterelpier/services/routing.py
+++ b/dotterelpier/services/routing.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 
 from attrs import define, evolve, field
 
@@ -48,27 +49,12 @@
         """Do nothing."""
 
     def choose_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
-        """Return a member likely to have a slot free, or None.
+        """Return a member likely to have a slot free, or None."""
+        return self._choose(service, excluded, lambda load: load.free_slots)
 
-        Where none is known to, any other home may be returned: its refusal tells
-        it that a call waits here.
-        """
-        member_by_id = self._usable_peers(excluded)
-        with self._lock:
-            load_by_id = {
-                member_id: load
-                for member_id in member_by_id
-                if (load := self._load_by_member_and_service.get((member_id, service)))
-            }
-            free_by_id = {key: load.free_slots for key, load in load_by_id.items()}
-            chosen = self._policy.choose(free_by_id)
-            if chosen is None:
-                slots_by_id = {key: load.slots for key, load in load_by_id.items()}
-                chosen = self._policy.choose(slots_by_id)
-            if chosen is None:
-                return None
-            self._change(chosen, service, free_slots=-1)
-        return member_by_id[chosen]
+    def choose_busy_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
+        """Return a home of the service that is not known to have a slot free."""
+        return self._choose(service, excluded, lambda load: load.slots)
 
     def learn(self, member_id: str, service: str, load: ServiceLoad) -> None:
         """Take in the load that a peer reported with a relayed answer."""
@@ -110,6 +96,25 @@
         """Return the last load known of a peer, or None."""
         return self._load_by_member_and_service.get((member_id, service))
 
+    def _choose(
+        self,
+        service: str,
+        excluded: frozenset[str],
+        weight: Callable[[ServiceLoad], int],
+    ) -> Member | None:
+        member_by_id = self._usable_peers(excluded)
+        with self._lock:
+            weight_by_id = {
+                member_id: weight(load)
+                for member_id in member_by_id
+                if (load := self._load_by_member_and_service.get((member_id, service)))
+            }
+            chosen = self._policy.choose(weight_by_id)
+            if chosen is None:
+                return None
+            self._change(chosen, service, free_slots=-1)
+        return member_by_id[chosen]
+
     def _usable_peers(self, excluded: frozenset[str]) -> dict[str, Member]:
         return {
             status.member.id: status.member
