--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,9 @@
 
 binary: setup
 	$(PYTHON) -m scripts.build_binary dist/dotterelpier
+
+bench: setup
+	$(PYTHON) -m bench.run
+
+bench-quick: setup
+	$(PYTHON) -m bench.run --quick
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -216,6 +216,7 @@
             call.service, excluded, call.deadline_at
         )
         if slot is None and call.relayed_by:
+            self._routing.note_refused(call.relayed_by, call.service)
             raise OverloadedError("no slot is free here", step="calls.relayed")
         if slot is None:
             answer = self._relay_to_free_home(call, service, excluded)
@@ -227,7 +228,11 @@
         return self._answer_of(call, service, self._send(call, service, slot))
 
     def _redeem(self, call: Call) -> Slot | None:
-        return self._admission.redeem(call.reservation) if call.reservation else None
+        return (
+            self._admission.redeem(call.reservation, call.deadline_at)
+            if call.reservation
+            else None
+        )
 
     def _wait_for_slot(self, call: Call) -> Slot:
         self._evidence.refresh(call.service)
@@ -247,7 +252,9 @@
     ) -> Answer | None:
         tried = excluded
         for _ in range(MAX_RELAYS):
-            member = self._routing.choose_peer(call.service, tried)
+            member = self._routing.choose_peer(
+                call.service, tried
+            ) or self._routing.choose_busy_peer(call.service, tried)
             if member is None:
                 return None
             try:
@@ -340,12 +347,8 @@
     def _on_relayed(
         self, service: Service, pending: _Pending, future: "Future[Answer]"
     ) -> None:
-        if future.exception() is not None:
-            return
-        answer = future.result()
-        self._add_latency(service, pending)
-        if answer.peer_load is not None:
-            self._routing.learn(pending.peer_id, service.name, answer.peer_load)
+        if future.exception() is None:
+            self._add_latency(service, pending)
 
     def _on_answered(
         self,
