Two tests no longer depend on timing

The audit test took the first entry for that of the apply; members that join are audited too by now, so it looks for exactly one accepted apply of revision 1.

--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -34,6 +34,7 @@
     script: Script
     received: list[ReceivedRequest] = field(factory=list)
     cancelled: list[str] = field(factory=list)
+    closed: threading.Semaphore = field(factory=lambda: threading.Semaphore(0))
     address: str = field(init=False)
     _listener: socket.socket = field(init=False)
 
@@ -55,9 +56,13 @@
             except OSError:
                 return
             threading.Thread(
-                target=self._serve, args=(connection,), daemon=True
+                target=self._serve_and_close, args=(connection,), daemon=True
             ).start()
 
+    def _serve_and_close(self, connection: socket.socket) -> None:
+        self._serve(connection)
+        self.closed.release()
+
     def _serve(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with connection, connection.makefile("rb") as stream:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -37,6 +37,7 @@
     for _ in range(20):
         exchange = backends.send(target(server.address), attempt())
         assert exchange.answer.result(ANSWER_WAIT_S).body == b"answer to /x"
+        assert server.closed.acquire(timeout=ANSWER_WAIT_S)
     server.close()
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -124,7 +124,11 @@
     shown = command("manifest", "show", "--settings", settings)
     assert "# revision 1" in shown.stdout
     trail = command("audit", "--json", "--settings", settings)
-    assert json.loads(trail.stdout.splitlines()[0])["event"] == "manifest.apply"
+    entries = [json.loads(line) for line in trail.stdout.splitlines()]
+    applied = [entry for entry in entries if entry["event"] == "manifest.apply"]
+    assert [(entry["revision"], entry["outcome"]) for entry in applied] == [
+        (1, "accepted")
+    ]
 
 
 def test_bad_manifest_is_refused(tmp_path: Path) -> None:
