Evidence, budget, gates and queue as parts of their own

Admission keeps a gate for each backend server: exact counts, a limit that doubles only on answers sent under it while it was full, and a way back to the cold allowance at the first sign. A request without a whole answer keeps its slot until its deadline has passed at the server or the server is known to have restarted. Evidence keeps a budget of probes, bytes and slot time that starts empty, stays with "leaving" until another boot id or a growing time speaks against it, and proves that new connections are accepted by busy servers too.

A probe of a cold server spends one of its slots.

--- a/dotterelpier/clients/backends.py
+++ b/dotterelpier/clients/backends.py
@@ -11,17 +11,18 @@
     PooledExchange,
     make_connection_pool,
 )
-from dotterelpier.clients.http_connection import open_connection
+from dotterelpier.clients.http_connection import open_connection, shut_down
 from dotterelpier.errors import (
     AnswerLostError,
     AnswerMismatchError,
+    AnswerTimeoutError,
     ConnectFailedError,
     RefusedError,
     TaskPoolFullError,
 )
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.call import Answer, Attempt
-from dotterelpier.model.evidence import LoadReport
+from dotterelpier.model.evidence import ProbeAnswer
 from dotterelpier.model.manifest import BackendServer
 from dotterelpier.protocols import (
     Backends,
@@ -46,6 +47,9 @@
 CANCEL_TIMEOUT_S = 1.0
 HEALTH_PATH = "/healthz"
 ATTEMPTS_PATH = "/attempts/"
+MAX_PROBE_BODY_BYTES = 4096
+# The request and the first line of the answer.
+PROBE_LINES_BYTES = 110
 
 
 @define
@@ -54,6 +58,7 @@
 
     _pool: ConnectionPool
     _clock: Clock
+    _timer: Timer
 
     def start(self) -> None:
         """Start the pool."""
@@ -82,7 +87,7 @@
         self._pool.send(server.address, exchange, fresh=attempt.fresh_connection)
         return exchange
 
-    def probe(self, server: BackendServer, timeout_s: float) -> LoadReport:
+    def probe(self, server: BackendServer, timeout_s: float) -> ProbeAnswer:
         """Probe a backend server on a connection of its own."""
         try:
             connection = open_connection(server.address, timeout_s)
@@ -90,21 +95,13 @@
             raise ConnectFailedError(
                 repr(error), step="probe", peer=server.address
             ) from None
+        # The socket's timeout bounds each read, not the whole probe.
+        overdue = self._timer.after(timeout_s, lambda: shut_down(connection))
         try:
-            connection.request("GET", HEALTH_PATH)
-            response = connection.getresponse()
-            response.read()
-        except (OSError, http.client.HTTPException) as error:
-            raise AnswerLostError(
-                repr(error), step="probe", peer=server.address
-            ) from None
+            return _exchange_probe(connection, server)
         finally:
+            overdue.cancel()
             connection.close()
-        report = read_load_report(dict(response.headers))
-        if report is None:
-            message = f"status {response.status} without a load report"
-            raise RefusedError(message, step="probe", peer=server.address)
-        return report
 
     def drop(self, backend_id: str) -> None:
         """Close the idle connections to a backend server's address."""
@@ -124,6 +121,26 @@
             return
 
 
+def _exchange_probe(
+    connection: http.client.HTTPConnection, server: BackendServer
+) -> ProbeAnswer:
+    try:
+        connection.request("GET", HEALTH_PATH)
+        response = connection.getresponse()
+        body = response.read(MAX_PROBE_BODY_BYTES)
+    except TimeoutError:
+        message = "no answer in time"
+        raise AnswerTimeoutError(message, step="probe", peer=server.address) from None
+    except (OSError, http.client.HTTPException) as error:
+        raise AnswerLostError(repr(error), step="probe", peer=server.address) from None
+    report = read_load_report(dict(response.headers))
+    if report is None:
+        message = f"status {response.status} without a load report"
+        raise RefusedError(message, step="probe", peer=server.address)
+    head = sum(len(name) + len(value) + 4 for name, value in response.headers.items())
+    return ProbeAnswer(report, PROBE_LINES_BYTES + head + len(body))
+
+
 def _decode(received: HttpAnswer, attempt: Attempt, server: BackendServer) -> Answer:
     headers = received.headers
     if headers.get(ATTEMPT_HEADER) != attempt.id:
@@ -150,12 +167,13 @@
 def make_backends(kernel: Kernel, limits: LimitSettings) -> Backends:
     """Return the connections to backend servers."""
     clock = kernel.find(ServiceName.CLOCK, Clock)
+    timer = kernel.find(ServiceName.TIMER, Timer)
     pool = make_connection_pool(
         "backend",
         TaskKind.BACKEND_CONNECTION,
         limits.idle_connection_s,
         clock,
         kernel.find(ServiceName.TASKS, Tasks),
-        kernel.find(ServiceName.TIMER, Timer),
+        timer,
     )
-    return BackendClient(pool, clock)
+    return BackendClient(pool, clock, timer)
--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -1,7 +1,6 @@
 """Pools of HTTP connections, each served by a task of its own."""
 
 import http.client
-import socket
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
@@ -9,7 +8,7 @@
 
 from attrs import define, field, frozen
 
-from dotterelpier.clients.http_connection import open_connection
+from dotterelpier.clients.http_connection import open_connection, shut_down
 from dotterelpier.errors import (
     AnswerLostError,
     AnswerTimeoutError,
@@ -87,12 +86,8 @@
 
     def abort(self) -> None:
         """Break the connection, so that its task stops waiting for an answer."""
-        connection = self._connection
-        if connection is not None and connection.sock is not None:
-            try:
-                connection.sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        if self._connection is not None:
+            shut_down(self._connection)
 
     def _next(self) -> PooledExchange | None:
         try:
--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -38,3 +38,13 @@
     connection.connect()
     connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return connection
+
+
+def shut_down(connection: http.client.HTTPConnection) -> None:
+    """Break a connection, so that whoever waits for it stops waiting."""
+    sock = connection.sock
+    if sock is not None:
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
--- a/dotterelpier/model/evidence.py
+++ b/dotterelpier/model/evidence.py
@@ -25,15 +25,40 @@
         Changes each time the server starts; empty if not reported.
     in_flight : int
         Requests that it counts in flight; may be stale.
+    uptime_s : float or None
+        Time since it started, in seconds; None if not reported.
+    size_bytes : int
+        Size of the header that carried the report.
     """
 
     readiness: Readiness = Readiness.READY
     boot_id: str = ""
     in_flight: int = 0
+    uptime_s: float | None = None
+    size_bytes: int = 0
+
+
+@frozen
+class ProbeAnswer:
+    """Answer of a backend server to a probe.
+
+    Attributes
+    ----------
+    report : LoadReport
+        What it reports.
+    size_bytes : int
+        Bytes of the request and the answer.
+    """
+
+    report: LoadReport
+    size_bytes: int = 0
 
 
 class ExchangeResult(str, Enum):
-    """How one exchange with a backend server ended, as evidence."""
+    """How one exchange with a backend server ended, as evidence.
+
+    ``NO_EXCHANGE`` marks what another source told, such as the list of VMs.
+    """
 
     ANSWERED = "answered"
     SHED = "shed"
@@ -41,6 +66,7 @@
     RESET = "reset"
     TIMEOUT = "timeout"
     CANCELLED = "cancelled"
+    NO_EXCHANGE = "no_exchange"
 
 
 @frozen
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -13,7 +13,7 @@
 from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.call import Answer, Attempt, Call
 from dotterelpier.model.directory import DirectoryAnswer
-from dotterelpier.model.evidence import LoadReport, Observation
+from dotterelpier.model.evidence import Observation, ProbeAnswer
 from dotterelpier.model.manifest import BackendServer, Revision
 from dotterelpier.model.membership import (
     Assignment,
@@ -339,6 +339,18 @@
         ...
 
 
+class ProbeGate(Protocol):
+    """Decides whether a backend server bears a probe now."""
+
+    def begin_probe(self, backend_id: str) -> bool:
+        """Tell whether a probe may be sent; it must be ended if so."""
+        ...
+
+    def end_probe(self, backend_id: str) -> None:
+        """State that the probe ended."""
+        ...
+
+
 class Evidence(Protocol):
     """What is known of the backend servers whose home this entry is."""
 
@@ -362,8 +374,12 @@
         """Call a listener with each observation."""
         ...
 
+    def ask_before_probes(self, gate: ProbeGate) -> None:
+        """Let a gate decide about each probe."""
+        ...
+
 
-class Admission(Protocol):
+class Admission(ProbeGate, Protocol):
     """Slots of the backend servers whose home this entry is."""
 
     def try_acquire(
@@ -372,18 +388,27 @@
         """Take a slot if one is free, on a server that is not excluded."""
         ...
 
-    def wait(self, service: str, deadline_at: float) -> "Future[Slot]":
+    def wait(
+        self,
+        service: str,
+        deadline_at: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> "Future[Slot]":
         """Queue for a slot; cancel the future to leave the queue.
 
         Raises
         ------
         OverloadedError
-            If the queue of the service is full.
+            If the queue of the service is full, or too long for the deadline.
         """
         ...
 
-    def release(self, slot: Slot) -> None:
-        """Give a slot back."""
+    def release(self, slot: Slot, *, may_run: bool = False) -> None:
+        """Give a slot back.
+
+        A request that may still run keeps its slot until its deadline has surely
+        passed at the backend server, or until that is known to have restarted.
+        """
         ...
 
     def load_by_service(self) -> dict[str, ServiceLoad]:
@@ -415,6 +440,14 @@
         """
         ...
 
+    def subscribe_cancel(self, listener: Callable[[tuple[int, ...]], None]) -> None:
+        """Call a listener with the ids of slots that a cold server cannot bear.
+
+        Idempotent requests in these slots are to be cancelled and sent elsewhere.
+        The listener must not block.
+        """
+        ...
+
     def bearing(self, backend_id: str) -> HandoverState:
         """Return what a backend server bears and has in flight from here."""
         ...
@@ -446,7 +479,7 @@
         """
         ...
 
-    def probe(self, server: BackendServer, timeout_s: float) -> LoadReport:
+    def probe(self, server: BackendServer, timeout_s: float) -> ProbeAnswer:
         """Probe a backend server.
 
         Raises
--- a/dotterelpier/services/admission.py
+++ b/dotterelpier/services/admission.py
@@ -3,17 +3,16 @@
 import itertools
 import threading
 import uuid
-from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from concurrent.futures import Future
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from dotterelpier.errors import OverloadedError
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.admission import Slot
-from dotterelpier.model.evidence import ExchangeResult, Observation, Readiness
-from dotterelpier.model.manifest import BackendServer
+from dotterelpier.model.evidence import ExchangeResult, Observation
+from dotterelpier.model.manifest import Revision
 from dotterelpier.model.membership import (
     HandoverState,
     HomeGrant,
@@ -30,77 +29,49 @@
     ServiceName,
     Timer,
 )
+from dotterelpier.services.call_queue import CallQueue, Waiter
+from dotterelpier.services.gates import MAX_REQUEST_S, Gate, make_gate
 
 RESERVATION_S = 1.0
-
-
-@define(eq=False)
-class _Gate:
-    """Requests in flight at one backend server, and how many it bears."""
-
-    server: BackendServer
-    limit: int
-    in_flight_elsewhere: int = 0
-    deadline_by_slot_id: dict[int, float] = field(factory=dict)
-    successes: int = 0
-    boot_id: str = ""
-
-    @property
-    def in_flight(self) -> int:
-        return len(self.deadline_by_slot_id) + self.in_flight_elsewhere
-
-    @property
-    def free(self) -> int:
-        return max(0, self.limit - self.in_flight)
-
-    @property
-    def cold(self) -> bool:
-        return self.limit < self.server.slots
-
-    def turn_cold(self) -> None:
-        """Admit no more than the cold allowance from now on."""
-        self.limit = self.server.cold_slots
-        self.successes = 0
-
-    def succeed(self) -> None:
-        """Double the limit after as many good answers as it allows at once."""
-        if not self.cold:
-            return
-        self.successes += 1
-        if self.successes >= self.limit:
-            self.limit = min(self.server.slots, 2 * self.limit)
-            self.successes = 0
+MAX_CLOCK_DIFFERENCE_S = 0.25
 
 
 @define
 class HomeAdmission:
-    """Counts requests in flight exactly and queues calls when no slot is free."""
+    """Counts requests in flight exactly and queues calls when no slot is free.
+
+    Listeners and futures are served without the lock held.
+    """
 
     _clock: Clock
     _homes: Homes
     _evidence: Evidence
     _manifest: ManifestKeeper
     _timer: Timer
-    _gate_by_id: dict[str, _Gate] = field(factory=dict)
-    _waiting_by_service: dict[str, deque["Future[Slot]"]] = field(factory=dict)
+    _gate_by_id: dict[str, Gate] = field(factory=dict)
+    _queue_by_service: dict[str, CallQueue] = field(factory=dict)
+    _zones_out: frozenset[str] = frozenset()
     _slot_ids: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
     _reserved_by_token: dict[str, Slot] = field(factory=dict)
     _free_listeners: list[Callable[[str], None]] = field(factory=list)
+    _cancel_listeners: list[Callable[[tuple[int, ...]], None]] = field(factory=list)
     _lock: threading.RLock = field(factory=threading.RLock)
 
     def start(self) -> None:
-        """Start to follow homes and evidence."""
+        """Start to follow homes, evidence and the manifest."""
         self._homes.report_bearing_from(self.bearing)
+        self._manifest.subscribe(self._on_revision)
         self._homes.subscribe(self._on_home)
         self._evidence.subscribe(self._on_observation)
+        self._evidence.ask_before_probes(self)
 
     def stop(self) -> None:
         """Fail the calls that still wait."""
         with self._lock:
-            queues = tuple(self._waiting_by_service.values())
-        for waiting in queues:
-            for future in tuple(waiting):
-                future.cancel()
+            queues = tuple(self._queue_by_service.values())
+        for queue in queues:
+            for waiter in queue.in_order():
+                waiter.future.cancel()
 
     def try_acquire(
         self, service: str, excluded: frozenset[str], deadline_at: float
@@ -109,8 +80,8 @@
         with self._lock:
             gates = [
                 gate
-                for gate in self._gates(service)
-                if gate.free and gate.server.id not in excluded
+                for gate in self._open_gates(service)
+                if gate.server.id not in excluded
             ]
             gates.sort(key=lambda gate: gate.free / gate.limit, reverse=True)
             for gate in gates:
@@ -119,39 +90,46 @@
                     return slot
         return None
 
-    def wait(self, service: str, deadline_at: float) -> "Future[Slot]":
+    def wait(
+        self,
+        service: str,
+        deadline_at: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> "Future[Slot]":
         """Queue for a slot; cancel the future to leave the queue."""
-        revision = self._manifest.current()
-        queue_calls = (
-            revision.manifest.service_by_name[service].queue_calls if revision else 0
-        )
-        future: Future[Slot] = Future()
+        now = self._clock.monotonic()
+        waiter = Waiter(deadline_at, excluded)
         with self._lock:
-            waiting = self._waiting_by_service.setdefault(service, deque())
-            if len(waiting) >= queue_calls:
+            queue = self._queue_by_service.setdefault(service, CallQueue())
+            if len(queue) >= self._queue_calls(service):
+                raise OverloadedError(
+                    f"{len(queue)} calls wait already", step="admission.wait"
+                )
+            if now + queue.expected_wait_s() > deadline_at:
                 raise OverloadedError(
-                    f"{len(waiting)} calls wait already", step="admission.wait"
+                    "the deadline is before a slot is likely to come free",
+                    step="admission.wait",
                 )
-            waiting.append(future)
-        future.add_done_callback(lambda done: self._leave_queue(service, done))
+            queue.add(waiter, now)
+        waiter.future.add_done_callback(lambda _: self._leave_queue(service, waiter))
         self._grant_waiting(service)
-        return future
+        return waiter.future
 
-    def release(self, slot: Slot) -> None:
+    def release(self, slot: Slot, *, may_run: bool = False) -> None:
         """Give a slot back."""
         if slot.server is None:
             return
-        with self._lock:
-            gate = self._gate_by_id.get(slot.server.id)
-            if gate is not None:
-                gate.deadline_by_slot_id.pop(slot.id, None)
-        self._grant_waiting(slot.server.service)
+        delay_s = self._keep_unanswered(slot) if may_run else 0.0
+        if delay_s > 0:
+            self._timer.after(delay_s, lambda: self._end(slot))
+        else:
+            self._end(slot)
 
     def load_by_service(self) -> dict[str, ServiceLoad]:
         """Return the load of each service on this entry."""
         with self._lock:
             services = {gate.server.service for gate in self._gate_by_id.values()}
-            services.update(self._waiting_by_service)
+            services.update(self._queue_by_service)
             return {service: self._load(service) for service in services}
 
     def take_offer(self, offer: SlotOffer) -> bool:
@@ -162,12 +140,15 @@
             peer_id=offer.sender_id,
             reservation=offer.reservation,
         )
-        return self._give_to_waiting(offer.service, slot)
+        while (waiter := self._first_waiting(offer.service)) is not None:
+            if _give(waiter, slot):
+                return True
+        return False
 
     def reserve(self, service: str) -> tuple[Slot, str] | None:
         """Hold a free slot that no call here waits for, under a new token."""
         with self._lock:
-            if self._waiting_by_service.get(service):
+            if self._queue_by_service.get(service):
                 return None
             expires_at = self._clock.monotonic() + RESERVATION_S
             slot = self.try_acquire(service, frozenset(), expires_at)
@@ -194,125 +175,230 @@
         with self._lock:
             self._free_listeners.append(listener)
 
+    def subscribe_cancel(self, listener: Callable[[tuple[int, ...]], None]) -> None:
+        """Call a listener with the ids of slots that a cold server cannot bear."""
+        with self._lock:
+            self._cancel_listeners.append(listener)
+
     def bearing(self, backend_id: str) -> HandoverState:
         """Return what a backend server bears and has in flight from here."""
         with self._lock:
             gate = self._gate_by_id.get(backend_id)
             if gate is None:
                 return HandoverState(0, 0, 0.0)
-            deadlines = gate.deadline_by_slot_id.values()
-            longest_s = max(deadlines, default=0.0) - self._clock.monotonic()
-            return HandoverState(gate.limit, len(deadlines), max(0.0, longest_s))
+            return gate.state(self._clock.monotonic())
 
-    def _gates(self, service: str) -> Iterable[_Gate]:
+    def begin_probe(self, backend_id: str) -> bool:
+        """Tell whether a probe may be sent; a cold server spends a slot on it."""
+        with self._lock:
+            gate = self._gate_by_id.get(backend_id)
+            if gate is None or not gate.active:
+                return False
+            if gate.cold and not gate.free:
+                return False
+            gate.probing = gate.cold
+            return True
+
+    def end_probe(self, backend_id: str) -> None:
+        """State that the probe ended."""
+        with self._lock:
+            gate = self._gate_by_id.get(backend_id)
+            if gate is None or not gate.probing:
+                return
+            gate.probing = False
+        self._grant_waiting(gate.server.service)
+
+    def _open_gates(self, service: str) -> list[Gate]:
         return [
             gate
             for gate in self._gate_by_id.values()
-            if gate.server.service == service and self._evidence.allows(gate.server.id)
+            if gate.server.service == service
+            and gate.free
+            and self._evidence.allows(gate.server.id)
         ]
 
-    def _take(self, gate: _Gate, deadline_at: float) -> Slot | None:
+    def _take(self, gate: Gate, deadline_at: float) -> Slot | None:
+        now = self._clock.monotonic()
+        gate.cool_if_idle(now)
+        if not gate.free:
+            return None
         if self._homes.send_deadline(gate.server.id, cold=gate.cold) is None:
             return None
         slot = Slot(next(self._slot_ids), gate.server, gate.cold)
-        gate.deadline_by_slot_id[slot.id] = deadline_at
+        gate.take(slot.id, deadline_at, now)
         return slot
 
     def _load(self, service: str) -> ServiceLoad:
-        gates = list(self._gates(service))
+        gates = [
+            gate
+            for gate in self._gate_by_id.values()
+            if gate.active
+            and gate.server.service == service
+            and self._evidence.allows(gate.server.id)
+        ]
         return ServiceLoad(
-            sum(gate.free for gate in gates),
+            sum(gate.free_for_calls for gate in gates),
             sum(gate.limit for gate in gates),
-            len(self._waiting_by_service.get(service, ())),
+            len(self._queue_by_service.get(service, ())),
         )
 
-    def _leave_queue(self, service: str, future: "Future[Slot]") -> None:
+    def _queue_calls(self, service: str) -> int:
+        revision = self._manifest.current()
+        if revision is None or service not in revision.manifest.service_by_name:
+            return 0
+        return revision.manifest.service_by_name[service].queue_calls
+
+    def _leave_queue(self, service: str, waiter: Waiter) -> None:
         with self._lock:
-            waiting = self._waiting_by_service.get(service)
-            if waiting is not None and future in waiting:
-                waiting.remove(future)
+            self._queue_by_service[service].discard(waiter)
+
+    def _keep_unanswered(self, slot: Slot) -> float:
+        assert slot.server is not None
+        with self._lock:
+            gate = self._gate_by_id.get(slot.server.id)
+            if gate is None or slot.id not in gate.deadline_by_slot_id:
+                return 0.0
+            gate.unanswered_ids.add(slot.id)
+            ends_at = gate.deadline_by_slot_id[slot.id] + MAX_CLOCK_DIFFERENCE_S
+        return min(ends_at - self._clock.monotonic(), MAX_REQUEST_S)
+
+    def _end(self, slot: Slot) -> None:
+        assert slot.server is not None
+        with self._lock:
+            gate = self._gate_by_id.get(slot.server.id)
+            if gate is not None:
+                gate.end(slot.id, self._clock.monotonic())
+                self._forget_if_removed(gate)
+        self._grant_waiting(slot.server.service)
 
     def _expire(self, token: str) -> None:
         slot = self.redeem(token)
         if slot is not None:
             self.release(slot)
 
+    def _first_waiting(self, service: str) -> Waiter | None:
+        with self._lock:
+            queue = self._queue_by_service.get(service)
+            if not queue:
+                return None
+            waiter = queue.in_order()[0]
+            queue.serve(waiter, self._clock.monotonic())
+            return waiter
+
     def _grant_waiting(self, service: str) -> None:
-        while self._waiting_by_service.get(service):
-            slot = self.try_acquire(service, frozenset(), float("inf"))
-            if slot is None:
-                return
-            if not self._give_to_waiting(service, slot):
-                self._cancel_slot(slot)
+        while (grant := self._next_grant(service)) is not None:
+            if not _give(grant.waiter, grant.slot):
+                self._end(grant.slot)
         self._tell_free(service)
 
+    def _next_grant(self, service: str) -> "_Grant | None":
+        with self._lock:
+            queue = self._queue_by_service.get(service)
+            for waiter in queue.in_order() if queue else ():
+                slot = self.try_acquire(service, waiter.excluded, waiter.deadline_at)
+                if slot is not None and queue is not None:
+                    queue.serve(waiter, self._clock.monotonic())
+                    return _Grant(waiter, slot)
+                if not waiter.excluded:
+                    return None
+        return None
+
     def _tell_free(self, service: str) -> None:
         with self._lock:
             listeners = tuple(self._free_listeners)
-            if not listeners or not self._load(service).free_slots:
+            if not listeners or self._queue_by_service.get(service):
+                return
+            if not self._open_gates(service):
                 return
         for listener in listeners:
             listener(service)
 
-    def _give_to_waiting(self, service: str, slot: Slot) -> bool:
-        while True:
-            with self._lock:
-                waiting = self._waiting_by_service.get(service)
-                if not waiting:
-                    return False
-                future = waiting.popleft()
-            if future.set_running_or_notify_cancel():
-                future.set_result(slot)
-                return True
-
-    def _cancel_slot(self, slot: Slot) -> None:
-        with self._lock:
-            if slot.server is not None:
-                gate = self._gate_by_id.get(slot.server.id)
-                if gate is not None:
-                    gate.deadline_by_slot_id.pop(slot.id, None)
-
     def _on_home(self, backend_id: str, grant: HomeGrant | None) -> None:
         revision = self._manifest.current()
         server = revision and revision.manifest.backend_by_id.get(backend_id)
-        if not server:
-            return
         with self._lock:
             gate = self._gate_by_id.get(backend_id)
             if grant is None:
-                if gate is not None:
-                    gate.limit = 0
+                self._give_up(gate)
+                return
+            if not server:
                 return
             if gate is None:
-                gate = _Gate(server, 0)
+                gate = make_gate(server)
                 self._gate_by_id[backend_id] = gate
-            if gate.limit == 0:
-                gate.limit = grant.limit or server.cold_slots
-            gate.in_flight_elsewhere = grant.in_flight_elsewhere
+            gate.take_up(grant, self._clock.monotonic())
         self._grant_waiting(server.service)
 
+    def _give_up(self, gate: Gate | None) -> None:
+        if gate is not None:
+            gate.active = False
+            self._forget_if_removed(gate)
+
+    def _forget_if_removed(self, gate: Gate) -> None:
+        revision = self._manifest.current()
+        declared = revision is None or gate.server.id in revision.manifest.backend_by_id
+        if not declared and not gate.active and not gate.deadline_by_slot_id:
+            self._gate_by_id.pop(gate.server.id, None)
+
+    def _on_revision(self, revision: Revision) -> None:
+        manifest = revision.manifest
+        now = self._clock.monotonic()
+        zones_out = frozenset(
+            zone.name for zone in manifest.zones if manifest.zone_is_out(zone.name)
+        )
+        with self._lock:
+            returned = self._zones_out - zones_out
+            self._zones_out = zones_out
+            for backend_id, gate in tuple(self._gate_by_id.items()):
+                server = manifest.backend_by_id.get(backend_id)
+                if server is None:
+                    self._forget_if_removed(gate)
+                    continue
+                if server != gate.server:
+                    gate.change_server(server, now)
+                if server.zone in returned:
+                    gate.turn_cold(now)
+        for service in manifest.service_by_name:
+            self._grant_waiting(service)
+
     def _on_observation(self, observation: Observation) -> None:
         with self._lock:
             gate = self._gate_by_id.get(observation.backend_id)
-            if gate is None or gate.limit == 0:
+            if gate is None:
                 return
-            self._adapt(gate, observation)
+            slow = self._learn_latency(gate, observation)
+            excess = gate.learn(observation, slow)
+            listeners = tuple(self._cancel_listeners) if excess else ()
+        for listener in listeners:
+            listener(excess)
         self._grant_waiting(gate.server.service)
 
-    def _adapt(self, gate: _Gate, observation: Observation) -> None:
-        report = observation.report
-        rebooted = False
-        if report is not None and report.boot_id:
-            rebooted = gate.boot_id not in ("", report.boot_id)
-            gate.boot_id = report.boot_id
-        cold_report = report is not None and report.readiness is Readiness.COLD
-        cold_results = (ExchangeResult.SHED, ExchangeResult.RESET)
-        if rebooted or cold_report or observation.result in cold_results:
-            gate.turn_cold()
-        elif (
-            observation.result is ExchangeResult.ANSWERED and not observation.from_probe
-        ):
-            gate.succeed()
+    def _learn_latency(self, gate: Gate, observation: Observation) -> bool:
+        ended = (ExchangeResult.ANSWERED, ExchangeResult.TIMEOUT)
+        if observation.from_probe or observation.result not in ended:
+            return False
+        gate.baseline.add(observation.latency_s)
+        if not gate.baseline.is_far_above():
+            return False
+        # Where most servers look slow, the cause is on the side of this entry.
+        gates = [item for item in self._gate_by_id.values() if item.active]
+        slow = sum(item.baseline.is_far_above() for item in gates)
+        return 2 * slow <= max(2, len(gates))
+
+
+@frozen
+class _Grant:
+    """A slot for a waiting call."""
+
+    waiter: Waiter
+    slot: Slot
+
+
+def _give(waiter: Waiter, slot: Slot) -> bool:
+    if not waiter.future.set_running_or_notify_cancel():
+        return False
+    waiter.future.set_result(slot)
+    return True
 
 
 def make_admission(kernel: Kernel) -> Admission:
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -163,7 +163,9 @@
         return self._send(call, slot, once)
 
     def _redeem(self, call: Call) -> Slot | None:
-        return self._admission.redeem(call.reservation) if call.reservation else None
+        if not call.reservation:
+            return None
+        return self._admission.redeem(call.reservation, call.deadline_at)
 
     def _wait_for_slot(self, call: Call) -> Slot:
         self._evidence.refresh(call.service)
@@ -232,11 +234,11 @@
             answer = exchange.answer.result()
         except CallError as error:
             error.peer = server.id
+            self._admission.release(slot, may_run=error.ran)
             result = RESULT_BY_ERROR.get(type(error), ExchangeResult.RESET)
             self._observe(server.id, result, started_at, None)
             raise
-        finally:
-            self._admission.release(slot)
+        self._admission.release(slot)
         self._observe(server.id, ExchangeResult.ANSWERED, started_at, answer)
         return answer
 
--- a/dotterelpier/services/evidence.py
+++ b/dotterelpier/services/evidence.py
@@ -6,14 +6,22 @@
 from attrs import define, field
 from loguru import logger
 
-from dotterelpier.errors import CallError, PlatformError
+from dotterelpier.errors import (
+    AnswerTimeoutError,
+    CallError,
+    ConnectFailedError,
+    PlatformError,
+    RefusedError,
+    TaskPoolFullError,
+)
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.evidence import (
     ExchangeResult,
+    LoadReport,
     Observation,
     Readiness,
 )
-from dotterelpier.model.manifest import BackendServer, MeasuringBudget, Revision
+from dotterelpier.model.manifest import BackendServer, Revision
 from dotterelpier.model.membership import HomeGrant
 from dotterelpier.model.platform import VmState
 from dotterelpier.protocols import (
@@ -23,6 +31,7 @@
     Homes,
     ManifestKeeper,
     Metrics,
+    ProbeGate,
     ServiceName,
     Subscription,
     TaskKind,
@@ -30,48 +39,36 @@
     Timer,
     Vms,
 )
+from dotterelpier.services.probe_budget import ProbeBudget
+from dotterelpier.services.readiness import ServerReadiness
 
-MAX_AGE_S = 2.0
-PROBE_AGE_S = 1.0
 MEASURE_TICK_S = 0.25
 PROBE_TIMEOUT_S = 1.0
 VM_POLL_S = 2.0
-MAX_TOKENS = 1.0
-
-
-@define
-class TokenBucket:
-    """Allows probes at a rate; starts empty, so that a restart buys none."""
 
-    rate_per_s: float
-    _filled_at: float
-    _tokens: float = 0.0
-
-    def take(self, now: float) -> bool:
-        """Take one token if there is one."""
-        grown = (now - self._filled_at) * self.rate_per_s
-        self._tokens = min(MAX_TOKENS, self._tokens + grown)
-        self._filled_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+RESULT_BY_ERROR: dict[type[CallError], ExchangeResult] = {
+    ConnectFailedError: ExchangeResult.CONNECT_FAILED,
+    AnswerTimeoutError: ExchangeResult.TIMEOUT,
+    RefusedError: ExchangeResult.SHED,
+}
 
 
 @define
-class _ServerState:
-    """Evidence about one backend server."""
+class _Measured:
+    """A backend server whose home this entry is."""
 
     server: BackendServer
-    bucket: TokenBucket
+    budget: ProbeBudget
     subscription: Subscription
-    good_at: float = float("-inf")
-    leaving: bool = False
+    readiness: ServerReadiness = field(factory=ServerReadiness)
 
 
 @define
 class MeasuredEvidence:
-    """Takes evidence from answers, and from probes where there are none."""
+    """Takes evidence from answers, and from probes where there are none.
+
+    Listeners are called without the lock held.
+    """
 
     _clock: Clock
     _timer: Timer
@@ -81,9 +78,10 @@
     _manifest: ManifestKeeper
     _backends: Backends
     _metrics: Metrics
-    _state_by_id: dict[str, _ServerState] = field(factory=dict)
+    _measured_by_id: dict[str, _Measured] = field(factory=dict)
     _leaving_addresses: frozenset[str] = frozenset()
     _listeners: list[Callable[[Observation], None]] = field(factory=list)
+    _gate: ProbeGate | None = None
     _subscription: Subscription | None = None
     _lock: threading.RLock = field(factory=threading.RLock)
 
@@ -98,19 +96,19 @@
         """End all measuring tasks."""
         if self._subscription is not None:
             self._subscription.cancel()
-        with self._lock:
-            states = tuple(self._state_by_id.values())
-        for state in states:
-            state.subscription.cancel()
+        for measured in self._all_measured():
+            measured.subscription.cancel()
 
     def observe(self, observation: Observation) -> None:
         """Take in how an exchange ended."""
         with self._lock:
-            state = self._state_by_id.get(observation.backend_id)
-            if state is None:
-                return
-            self._update(state, observation)
+            measured = self._measured_by_id.get(observation.backend_id)
+            if measured is not None:
+                measured.readiness.learn(observation)
             listeners = tuple(self._listeners)
+        report = observation.report
+        if measured is not None and report is not None and not observation.from_probe:
+            self._count_bytes(measured.server, "report", report.size_bytes)
         for listener in listeners:
             listener(observation)
 
@@ -118,103 +116,138 @@
         """Tell whether fresh evidence speaks for sending new work."""
         revision = self._manifest.current()
         with self._lock:
-            state = self._state_by_id.get(backend_id)
-            if state is None or revision is None or state.leaving:
+            measured = self._measured_by_id.get(backend_id)
+            if measured is None or revision is None:
                 return False
             server = revision.manifest.backend_by_id.get(backend_id)
             if server is None or revision.manifest.zone_is_out(server.zone):
                 return False
-            if server.address.rpartition(":")[0] in self._leaving_addresses:
+            if _host(server) in self._leaving_addresses:
                 return False
-            return self._clock.monotonic() - state.good_at < MAX_AGE_S
+            return measured.readiness.is_fit(self._clock.monotonic())
 
     def age_s(self, backend_id: str) -> float:
         """Return the age of the newest evidence in seconds."""
-        state = self._state_by_id.get(backend_id)
-        if state is None:
+        measured = self._measured_by_id.get(backend_id)
+        if measured is None:
             return float("inf")
-        return self._clock.monotonic() - state.good_at
+        return self._clock.monotonic() - measured.readiness.good_at
 
     def refresh(self, service: str) -> None:
         """Ask for probes of the service's idle backend servers."""
-        with self._lock:
-            states = tuple(self._state_by_id.values())
-        for state in states:
-            if state.server.service == service:
-                state.subscription.wake()
+        for measured in self._all_measured():
+            if measured.server.service == service:
+                measured.subscription.wake()
 
     def subscribe(self, listener: Callable[[Observation], None]) -> None:
         """Call a listener with each observation."""
         with self._lock:
             self._listeners.append(listener)
 
-    def _update(self, state: _ServerState, observation: Observation) -> None:
-        report = observation.report
-        if observation.result is ExchangeResult.CONNECT_FAILED:
-            state.good_at = float("-inf")
-        if report is not None:
-            state.leaving = report.readiness is Readiness.LEAVING
-        if observation.result is ExchangeResult.ANSWERED:
-            state.good_at = max(state.good_at, observation.at)
+    def ask_before_probes(self, gate: ProbeGate) -> None:
+        """Let a gate decide about each probe."""
+        self._gate = gate
+
+    def _all_measured(self) -> tuple[_Measured, ...]:
+        with self._lock:
+            return tuple(self._measured_by_id.values())
 
     def _on_home(self, backend_id: str, grant: HomeGrant | None) -> None:
-        revision = self._manifest.current()
         if grant is None:
             with self._lock:
-                state = self._state_by_id.pop(backend_id, None)
-            if state is not None:
-                state.subscription.cancel()
+                measured = self._measured_by_id.pop(backend_id, None)
+            if measured is not None:
+                measured.subscription.cancel()
             return
+        revision = self._manifest.current()
         if revision is None or backend_id not in revision.manifest.backend_by_id:
             return
         with self._lock:
-            if backend_id in self._state_by_id:
+            if backend_id in self._measured_by_id:
                 return
-            state = self._new_state(revision, backend_id)
-            self._state_by_id[backend_id] = state
-        self._tasks.submit(TaskKind.MEASURE, self._measure, state)
-
-    def _new_state(self, revision: Revision, backend_id: str) -> _ServerState:
-        rate_per_s = revision.manifest.measuring.probes_per_s
-        return _ServerState(
-            revision.manifest.backend_by_id[backend_id],
-            TokenBucket(rate_per_s, self._clock.monotonic()),
-            self._timer.every(MEASURE_TICK_S),
+            measured = self._new_measured(revision, backend_id)
+            self._measured_by_id[backend_id] = measured
+        try:
+            self._tasks.submit(TaskKind.MEASURE, self._measure, measured)
+        except TaskPoolFullError as error:
+            logger.error("not measured", backend=backend_id, error=str(error))
+
+    def _new_measured(self, revision: Revision, backend_id: str) -> _Measured:
+        server = revision.manifest.backend_by_id[backend_id]
+        budget = ProbeBudget(
+            revision.manifest.measuring, server.slots, self._clock.monotonic()
         )
+        return _Measured(server, budget, self._timer.every(MEASURE_TICK_S))
 
     def _on_revision(self, revision: Revision) -> None:
-        budget: MeasuringBudget = revision.manifest.measuring
+        now = self._clock.monotonic()
+        manifest = revision.manifest
         with self._lock:
-            for state in self._state_by_id.values():
-                state.bucket.rate_per_s = budget.probes_per_s
-                server = revision.manifest.backend_by_id.get(state.server.id)
-                state.server = server or state.server
-
-    def _measure(self, state: _ServerState) -> None:
-        while state.subscription.wait():
-            now = self._clock.monotonic()
-            if now - state.good_at < PROBE_AGE_S or not self._may_probe(state):
-                continue
+            for backend_id, measured in self._measured_by_id.items():
+                server = manifest.backend_by_id.get(backend_id, measured.server)
+                measured.budget.change(manifest.measuring, server.slots, now)
+                if server.address != measured.server.address:
+                    measured.readiness = ServerReadiness()
+                measured.server = server
+
+    def _measure(self, measured: _Measured) -> None:
+        while measured.subscription.wait():
+            if measured.readiness.needs_probe(self._clock.monotonic()):
+                self._probe_if_allowed(measured)
+
+    def _probe_if_allowed(self, measured: _Measured) -> None:
+        backend_id = measured.server.id
+        timeout_s = self._timeout_s(backend_id)
+        if timeout_s <= 0:
+            return
+        if self._gate is not None and not self._gate.begin_probe(backend_id):
+            return
+        try:
             with self._lock:
-                taken = state.bucket.take(now)
-            if taken:
-                self.observe(self._probe(state.server))
+                affordable = measured.budget.take(self._clock.monotonic())
+            if affordable:
+                self.observe(self._probe(measured, timeout_s))
+        finally:
+            if self._gate is not None:
+                self._gate.end_probe(backend_id)
 
-    def _may_probe(self, state: _ServerState) -> bool:
-        return self._homes.send_deadline(state.server.id, cold=True) is not None
+    def _timeout_s(self, backend_id: str) -> float:
+        deadline_at = self._homes.send_deadline(backend_id, cold=True)
+        if deadline_at is None:
+            return 0.0
+        return min(PROBE_TIMEOUT_S, deadline_at - self._clock.monotonic())
 
-    def _probe(self, server: BackendServer) -> Observation:
+    def _probe(self, measured: _Measured, timeout_s: float) -> Observation:
+        server = measured.server
         started_at = self._clock.monotonic()
-        result, report = ExchangeResult.ANSWERED, None
+        result, report, size_bytes = ExchangeResult.ANSWERED, None, 0
         try:
-            report = self._backends.probe(server, PROBE_TIMEOUT_S)
+            answer = self._backends.probe(server, timeout_s)
+            report, size_bytes = answer.report, answer.size_bytes
         except CallError as error:
             logger.debug("probe failed", backend=server.id, error=str(error))
-            result = ExchangeResult.CONNECT_FAILED
-        self._metrics.count("probes", service=server.service, result=result.value)
+            result = RESULT_BY_ERROR.get(type(error), ExchangeResult.RESET)
         now = self._clock.monotonic()
+        with self._lock:
+            measured.budget.settle(size_bytes, now - started_at)
+        self._count_probe(server, result, size_bytes, now - started_at)
         return Observation(server.id, result, now, report, now - started_at, True)
 
+    def _count_probe(
+        self,
+        server: BackendServer,
+        result: ExchangeResult,
+        size_bytes: int,
+        duration_s: float,
+    ) -> None:
+        service = server.service
+        self._metrics.count("probes", service=service, result=result.value)
+        self._metrics.count("measuring_slot_seconds", duration_s, service=service)
+        self._count_bytes(server, "probe", size_bytes)
+
+    def _count_bytes(self, server: BackendServer, kind: str, size: int) -> None:
+        self._metrics.count("measuring_bytes", size, service=server.service, kind=kind)
+
     def _watch_vms(self, subscription: Subscription) -> None:
         while subscription.wait():
             try:
@@ -225,6 +258,19 @@
             self._leaving_addresses = frozenset(
                 vm.address for vm in vms if vm.state is VmState.LEAVING
             )
+            self._observe_leaving_vms()
+
+    def _observe_leaving_vms(self) -> None:
+        report = LoadReport(Readiness.LEAVING)
+        for measured in self._all_measured():
+            if _host(measured.server) in self._leaving_addresses:
+                now = self._clock.monotonic()
+                result = ExchangeResult.NO_EXCHANGE
+                self.observe(Observation(measured.server.id, result, now, report))
+
+
+def _host(server: BackendServer) -> str:
+    return server.address.rpartition(":")[0].strip("[]")
 
 
 def make_evidence(kernel: Kernel) -> Evidence:
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -51,6 +51,12 @@
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
+    "measuring_bytes": MetricDeclaration(
+        Counter, "Bytes of probes and of load reports.", ("service", "kind")
+    ),
+    "measuring_slot_seconds": MetricDeclaration(
+        Counter, "Duration of probes in seconds.", ("service",)
+    ),
 }
 
 
--- /dev/null
+++ b/dotterelpier/services/probe_budget.py
@@ -0,0 +1,85 @@
+"""What measuring one backend server may cost."""
+
+from attrs import define, field
+
+from dotterelpier.model.manifest import MeasuringBudget
+
+MAX_PROBES = 1.0
+SLOT_TIME_WINDOW_S = 10.0
+
+
+@define
+class Allowance:
+    """Amount that grows with time up to a limit; starts empty."""
+
+    rate_per_s: float
+    limit: float
+    amount: float = 0.0
+
+    def grow(self, elapsed_s: float) -> None:
+        """Add what the elapsed time allows."""
+        self.amount = min(self.limit, self.amount + elapsed_s * self.rate_per_s)
+
+
+@define
+class ProbeBudget:
+    """Probes, bytes and slot time; each has to suffice for one more probe.
+
+    It starts empty, so that a restart or a change of home buys no probe. Probes are
+    at least the inverse of their rate apart. Slot time saved in the last seconds may
+    be spent at once, and a probe that took longer than declared is paid back.
+    """
+
+    _budget: MeasuringBudget
+    _slots: int
+    _grown_at: float
+    _probes: Allowance = field(init=False)
+    _bytes: Allowance = field(init=False)
+    _slot_s: Allowance = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._probes = Allowance(0.0, MAX_PROBES)
+        self._bytes = Allowance(0.0, 0.0)
+        self._slot_s = Allowance(0.0, 0.0)
+        self._set_rates()
+
+    def change(self, budget: MeasuringBudget, slots: int, now: float) -> None:
+        """Put another budget in force; time before counts at the old rates."""
+        self._grow(now)
+        self._budget, self._slots = budget, slots
+        self._set_rates()
+
+    def take(self, now: float) -> bool:
+        """Spend one probe as declared, if all allowances suffice."""
+        self._grow(now)
+        costs = (
+            (self._probes, 1.0),
+            (self._bytes, self._budget.probe_bytes),
+            (self._slot_s, self._budget.probe_s),
+        )
+        if any(allowance.amount < cost for allowance, cost in costs):
+            return False
+        for allowance, cost in costs:
+            allowance.amount -= cost
+        return True
+
+    def settle(self, size_bytes: int, duration_s: float) -> None:
+        """Spend what a probe cost above its declared size and duration."""
+        self._bytes.amount -= max(0, size_bytes - self._budget.probe_bytes)
+        self._slot_s.amount -= max(0.0, duration_s - self._budget.probe_s)
+
+    def _grow(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self._grown_at)
+        self._grown_at = now
+        for allowance in (self._probes, self._bytes, self._slot_s):
+            allowance.grow(elapsed_s)
+
+    def _set_rates(self) -> None:
+        budget = self._budget
+        self._probes.rate_per_s = budget.probes_per_s
+        self._bytes.rate_per_s = budget.bytes_per_s
+        self._bytes.limit = budget.probe_bytes
+        self._slot_s.rate_per_s = budget.slot_share * self._slots
+        self._slot_s.limit = max(
+            budget.probe_s, SLOT_TIME_WINDOW_S * self._slot_s.rate_per_s
+        )
--- a/dotterelpier/wire/backend.py
+++ b/dotterelpier/wire/backend.py
@@ -1,5 +1,6 @@
 """Headers exchanged with backend servers and with relaying entries."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from dotterelpier.model.call import Attempt, Headers
@@ -75,12 +76,23 @@
         return LoadReport(
             Readiness(value_by_key.get("state", "ready")),
             value_by_key.get("boot", ""),
-            int(value_by_key.get("in_flight", "0")),
+            max(0, int(value_by_key.get("in_flight", "0"))),
+            _read_uptime(value_by_key.get("uptime")),
+            len(LOAD_HEADER) + len(text) + len(": \r\n"),
         )
     except ValueError:
         return None
 
 
+def _read_uptime(text: str | None) -> float | None:
+    if text is None:
+        return None
+    uptime_s = float(text)
+    if not 0 <= uptime_s < math.inf:
+        raise ValueError(f"uptime {text!r}")
+    return uptime_s
+
+
 def service_load_text(load: ServiceLoad) -> str:
     """Return the load of a service as the value of a header."""
     return f"free={load.free_slots};slots={load.slots};waiting={load.waiting}"
