--- a/dotterelpier/services/admission.py
+++ b/dotterelpier/services/admission.py
@@ -30,10 +30,9 @@
     Timer,
 )
 from dotterelpier.services.call_queue import CallQueue, Waiter
-from dotterelpier.services.gates import MAX_REQUEST_S, Gate, make_gate
+from dotterelpier.services.gates import Gate, make_gate
 
 RESERVATION_S = 1.0
-MAX_CLOCK_DIFFERENCE_S = 0.25
 
 
 @define
@@ -115,15 +114,16 @@
         self._grant_waiting(service)
         return waiter.future
 
-    def release(self, slot: Slot, *, may_run: bool = False) -> None:
-        """Give a slot back."""
+    def release(self, slot: Slot) -> None:
+        """Give a slot back, once the request surely no longer runs."""
         if slot.server is None:
             return
-        delay_s = self._keep_unanswered(slot) if may_run else 0.0
-        if delay_s > 0:
-            self._timer.after(delay_s, lambda: self._end(slot))
-        else:
-            self._end(slot)
+        with self._lock:
+            gate = self._gate_by_id.get(slot.server.id)
+            if gate is not None:
+                gate.end(slot.id, self._clock.monotonic())
+                self._forget_if_removed(gate)
+        self._grant_waiting(slot.server.service)
 
     def load_by_service(self) -> dict[str, ServiceLoad]:
         """Return the load of each service on this entry."""
@@ -252,25 +252,6 @@
         with self._lock:
             self._queue_by_service[service].discard(waiter)
 
-    def _keep_unanswered(self, slot: Slot) -> float:
-        assert slot.server is not None
-        with self._lock:
-            gate = self._gate_by_id.get(slot.server.id)
-            if gate is None or slot.id not in gate.deadline_by_slot_id:
-                return 0.0
-            gate.unanswered_ids.add(slot.id)
-            ends_at = gate.deadline_by_slot_id[slot.id] + MAX_CLOCK_DIFFERENCE_S
-        return min(ends_at - self._clock.monotonic(), MAX_REQUEST_S)
-
-    def _end(self, slot: Slot) -> None:
-        assert slot.server is not None
-        with self._lock:
-            gate = self._gate_by_id.get(slot.server.id)
-            if gate is not None:
-                gate.end(slot.id, self._clock.monotonic())
-                self._forget_if_removed(gate)
-        self._grant_waiting(slot.server.service)
-
     def _expire(self, token: str) -> None:
         slot = self.redeem(token)
         if slot is not None:
@@ -288,7 +269,7 @@
     def _grant_waiting(self, service: str) -> None:
         while (grant := self._next_grant(service)) is not None:
             if not _give(grant.waiter, grant.slot):
-                self._end(grant.slot)
+                self.release(grant.slot)
         self._tell_free(service)
 
     def _next_grant(self, service: str) -> "_Grant | None":
--- a/dotterelpier/services/gates.py
+++ b/dotterelpier/services/gates.py
@@ -37,7 +37,6 @@
     in_flight_elsewhere: int = 0
     probing: bool = False
     deadline_by_slot_id: dict[int, float] = field(factory=dict)
-    unanswered_ids: set[int] = field(factory=set)
     baseline: LatencyBaseline = field(factory=LatencyBaseline)
     _granted_limit: int = 0
     _boot_id: str = ""
@@ -91,7 +90,6 @@
         if self.in_flight >= self.limit:
             self._full_at = now
         self.deadline_by_slot_id.pop(slot_id, None)
-        self.unanswered_ids.discard(slot_id)
         self.used_at = now
 
     def cool_if_idle(self, now: float) -> None:
@@ -157,8 +155,8 @@
     def _count_good_answer(self, observation: Observation) -> None:
         started_at = observation.at - observation.latency_s
         sent_before = started_at < self._limit_set_at
-        never_full = self._full_at < started_at
-        if not self.cold or observation.from_probe or sent_before or never_full:
+        was_full = self._full_at >= started_at or self.in_flight >= self.limit
+        if not self.cold or observation.from_probe or sent_before or not was_full:
             return
         self._good_answers += 1
         if self._good_answers >= GOOD_ANSWERS_PER_SLOT * self.limit:
@@ -168,8 +166,6 @@
         new_id = bool(report.boot_id) and self._boot_id not in ("", report.boot_id)
         rebooted = self._has_fallen_uptime(report, now) or new_id
         self._boot_id = report.boot_id or self._boot_id
-        if rebooted:
-            self._forget_unanswered()
         return rebooted
 
     def _has_fallen_uptime(self, report: LoadReport, now: float) -> bool:
@@ -180,11 +176,6 @@
             return False
         return self._booted_at - previous > BOOT_TOLERANCE_S
 
-    def _forget_unanswered(self) -> None:
-        for slot_id in self.unanswered_ids:
-            self.deadline_by_slot_id.pop(slot_id, None)
-        self.unanswered_ids.clear()
-
 
 def make_gate(server: BackendServer) -> Gate:
     """Return a gate for a backend server whose home this entry is not yet."""
