--- a/dotterelpier/model/manifest.py
+++ b/dotterelpier/model/manifest.py
@@ -51,7 +51,8 @@
     method : str
         HTTP method.
     path : str
-        Shell pattern matched against the path below the service.
+        Shell pattern matched against the decoded path below the service, without
+        its query.
     """
 
     method: str
