--- a/dotterelpier/clients/backends.py
+++ b/dotterelpier/clients/backends.py
@@ -14,17 +14,18 @@
     PooledExchange,
     make_connection_pool,
 )
-from dotterelpier.clients.http_connection import open_connection
+from dotterelpier.clients.http_connection import open_connection, shut_down
 from dotterelpier.errors import (
     AnswerLostError,
     AnswerMismatchError,
+    AnswerTimeoutError,
     ConnectFailedError,
     RefusedError,
     TaskPoolFullError,
 )
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.call import Answer, Attempt
-from dotterelpier.model.evidence import LoadReport
+from dotterelpier.model.evidence import ProbeAnswer
 from dotterelpier.model.manifest import BackendServer
 from dotterelpier.protocols import (
     Backends,
@@ -50,6 +51,10 @@
 CANCEL_TIMEOUT_S = 1.0
 HEALTH_PATH = "/healthz"
 ATTEMPTS_PATH = "/attempts/"
+MAX_PROBE_BODY_BYTES = 4096
+# The request and the first line of the answer.
+PROBE_LINES_BYTES = 110
+MAX_CLOCK_DIFFERENCE_S = 0.25
 CANCELLED_STATUSES = frozenset({200, 204})
 
 
@@ -115,7 +120,7 @@
         self._pool.send(server.address, pooled, fresh=attempt.fresh_connection)
         return exchange
 
-    def probe(self, server: BackendServer, timeout_s: float) -> LoadReport:
+    def probe(self, server: BackendServer, timeout_s: float) -> ProbeAnswer:
         """Probe a backend server on a connection of its own."""
         try:
             connection = open_connection(server.address, timeout_s)
@@ -123,21 +128,13 @@
             raise ConnectFailedError(
                 repr(error), step="probe", peer=server.address
             ) from None
+        # The socket's timeout bounds each read, not the whole probe.
+        overdue = self._timer.after(timeout_s, lambda: shut_down(connection.sock))
         try:
-            connection.request("GET", HEALTH_PATH)
-            response = connection.getresponse()
-            response.read()
-        except (OSError, http.client.HTTPException) as error:
-            raise AnswerLostError(
-                repr(error), step="probe", peer=server.address
-            ) from None
+            return _exchange_probe(connection, server)
         finally:
+            overdue.cancel()
             connection.close()
-        report = read_load_report(response.headers.get(LOAD_HEADER))
-        if report is None:
-            message = f"status {response.status} without a load report"
-            raise RefusedError(message, step="probe", peer=server.address)
-        return report
 
     def drop(self, backend_id: str) -> None:
         """Close the idle connections to a backend server's address."""
@@ -160,12 +157,13 @@
         exchange: BackendExchange,
         ended: bool,
     ) -> None:
-        remaining_s = attempt.deadline_at - self._clock.monotonic()
-        if ended or remaining_s <= 0:
+        if ended:
             exchange.end()
             return
         # The backend server may go on with a request whose connection broke. It
-        # stops when it is told to, or at the deadline that it was given.
+        # stops when it is told to, or at the deadline that it was given, by its clock.
+        ends_at = attempt.deadline_at + MAX_CLOCK_DIFFERENCE_S
+        remaining_s = max(0.0, ends_at - self._clock.monotonic())
         self._timer.after(remaining_s, exchange.end)
         self._cancel(server, attempt, exchange)
 
@@ -191,6 +189,26 @@
             return
 
 
+def _exchange_probe(
+    connection: http.client.HTTPConnection, server: BackendServer
+) -> ProbeAnswer:
+    try:
+        connection.request("GET", HEALTH_PATH)
+        response = connection.getresponse()
+        body = response.read(MAX_PROBE_BODY_BYTES)
+    except TimeoutError:
+        message = "no answer in time"
+        raise AnswerTimeoutError(message, step="probe", peer=server.address) from None
+    except (OSError, http.client.HTTPException) as error:
+        raise AnswerLostError(repr(error), step="probe", peer=server.address) from None
+    report = read_load_report(response.headers.get(LOAD_HEADER))
+    if report is None:
+        message = f"status {response.status} without a load report"
+        raise RefusedError(message, step="probe", peer=server.address)
+    head = sum(len(name) + len(value) + 4 for name, value in response.headers.items())
+    return ProbeAnswer(report, PROBE_LINES_BYTES + head + len(body))
+
+
 def _end_if_cancelled(exchange: BackendExchange, answer: "Future[Answer]") -> None:
     if answer.exception() is None and answer.result().status in CANCELLED_STATUSES:
         exchange.end()
@@ -205,11 +223,13 @@
             peer=server.id,
         )
     if received.header(OUTCOME_HEADER) == NOT_RUN:
-        raise RefusedError(
+        refusal = RefusedError(
             f"refused with status {received.status}",
             step="backend.answer",
             peer=server.id,
         )
+        refusal.report = read_load_report(received.header(LOAD_HEADER))
+        raise refusal
     return Answer(
         received.status,
         forwardable(received.headers),
