Streams, hedges and cancellations under test; cold servers shed idempotent work

Calls cancel idempotent attempts in slots that a backend server turned cold cannot bear, and retry them elsewhere; an answer 499 to a cancelled attempt is never passed on. The stand-in confirms a cancellation once the run has ended, and serves large answers with entity tags, ranges and a switch to break off. The server of the callers' front end holds a stream back once 1 MiB is unsent.

--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -18,6 +18,8 @@
 
 # Buffers stay in memory: the VMs have no disks.
 IN_MEMORY_BYTES = 1 << 30
+# A caller that reads slower than this holds its stream back.
+UNSENT_BYTES = 1 << 20
 CONNECTION_LIMIT = 4096
 
 # A request must arrive whole within this time, else its connection is closed; idle
@@ -58,6 +60,7 @@
             max_request_header_size=self._max_header_bytes,
             inbuf_overflow=IN_MEMORY_BYTES,
             outbuf_overflow=IN_MEMORY_BYTES,
+            outbuf_high_watermark=UNSENT_BYTES,
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -50,6 +50,7 @@
 
 MAX_RELAYS = 2
 MAX_ATTEMPTS = 3
+CANCELLED_STATUS = 499
 
 RESULT_BY_ERROR: Mapping[type[BaseException], ExchangeResult] = {
     RefusedError: ExchangeResult.SHED,
@@ -70,20 +71,29 @@
     started_at: float
     cancelled: bool = False
 
-    def cancel(self) -> None:
+    def drop(self) -> None:
         """Give the attempt up; an answer that comes all the same is dropped."""
+        self.cancel()
+        self.exchange.answer.add_done_callback(_drop_stream)
+
+    def cancel(self) -> None:
+        """Ask the other side to stop; an answer that comes all the same is used."""
         self.cancelled = True
         self.exchange.cancel()
-        self.exchange.answer.add_done_callback(_drop_stream)
 
     def error(self) -> CallError | None:
         """Return how the attempt failed, None if it was answered."""
         error = self.exchange.answer.exception()
-        if error is None or isinstance(error, CallError):
-            if error is not None:
-                error.peer = self.peer_id
+        if isinstance(error, CallError):
+            error.peer = self.peer_id
             return error
-        return AnswerLostError(repr(error), step="calls.answer", peer=self.peer_id)
+        if error is not None:
+            return self._lost(repr(error))
+        stopped = self.exchange.answer.result().status == CANCELLED_STATUS
+        return self._lost("cancelled") if self.cancelled and stopped else None
+
+    def _lost(self, message: str) -> AnswerLostError:
+        return AnswerLostError(message, step="calls.answer", peer=self.peer_id)
 
 
 def _drop_stream(answer: "Future[Answer]") -> None:
@@ -110,8 +120,16 @@
     _metrics: Metrics
     _in_flight: int = 0
     _budget_by_service: dict[str, CallBudget] = field(factory=dict)
+    _idempotent_by_slot_id: dict[int, _Pending] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
+    def start(self) -> None:
+        """Start to cancel what cold backend servers cannot bear."""
+        self._admission.subscribe_cancel(self._cancel_idempotent)
+
+    def stop(self) -> None:
+        """Do nothing; the planned stop waits for the calls in flight."""
+
     def in_flight(self) -> int:
         """Return the number of calls being served, streams included."""
         return self._in_flight
@@ -300,11 +318,19 @@
             self._admission.release(slot)
             raise
         pending = _Pending(server.id, exchange, started_at)
+        if not call.once:
+            self._idempotent_by_slot_id[slot.id] = pending
         exchange.answer.add_done_callback(
             partial(self._on_answered, service, slot, pending)
         )
         return pending
 
+    def _cancel_idempotent(self, slot_ids: tuple[int, ...]) -> None:
+        for slot_id in slot_ids:
+            pending = self._idempotent_by_slot_id.get(slot_id)
+            if pending is not None:
+                pending.cancel()
+
     def _attempt(self, call: Call, service: Service, deadline_at: float) -> Attempt:
         return Attempt(
             uuid.uuid4().hex, call, deadline_at, call.once, service.whole_answer_bytes
@@ -355,6 +381,7 @@
         pending: _Pending,
         future: "Future[Answer]",
     ) -> None:
+        self._idempotent_by_slot_id.pop(slot.id, None)
         error = future.exception()
         try:
             if error is None:
@@ -409,7 +436,7 @@
         error = pending.error()
         if error is None:
             for loser in waiting.values():
-                loser.cancel()
+                loser.drop()
             return pending.exchange.answer.result()
         errors.append(error)
     raise max(errors, key=lambda error: error.ran)
--- a/tests/call_system.py
+++ b/tests/call_system.py
@@ -274,6 +274,8 @@
         return answer
 
     def send(self, server: BackendServer, attempt: Attempt) -> FakeExchange:
+        if self.system.hold is not None:
+            return self.system.hold(server, attempt)
         fate = self.system.next_fate()
         if fate is Fate.NO_THREAD:
             raise TaskPoolFullError("full", step="tasks")
@@ -317,6 +319,7 @@
     journal: list[Run] = field(factory=list)
     fates: Iterator[Fate] = field(factory=lambda: iter(()))
     during_run: Callable[[], None] | None = None
+    hold: Callable[[BackendServer, Attempt], FakeExchange] | None = None
     entry_by_id: dict[str, CallEntry] = field(factory=dict)
     revision: Revision = field(init=False)
     _requests: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -2,12 +2,14 @@
 
 Run with ``python -m tests.standins.backend --manifest FILE --control IP:port``.
 ``POST /faults/ID`` on the control address sets fields of ``BackendState`` by name;
+``break_offs`` large answers break off half way; ``GET /large/SIZE`` is such an answer.
 ``GET /journal`` returns every run of every request, ``GET /peaks`` the most requests
 that each backend server had in flight at once, cold and warm.
 """
 
 import json
 import random
+import re
 import threading
 import time
 import uuid
@@ -24,6 +26,7 @@
 
 SERVICE_S = 0.01
 WARM_AFTER_RUNS = 20
+LARGE_PATH = "/large/"
 
 
 @define
@@ -57,6 +60,7 @@
     failing: bool = False
     silent: bool = False
     lying_load: bool = False
+    break_offs: int = 0
     boot_id: str = field(factory=lambda: uuid.uuid4().hex[:8])
     in_flight: int = 0
     running: int = 0
@@ -68,6 +72,7 @@
     fallen: int = 0
     journal: list[Run] = field(factory=list)
     cancelled: set[str] = field(factory=set)
+    active: set[str] = field(factory=set)
     draw: random.Random = field(factory=lambda: random.Random(1))
     condition: threading.Condition = field(factory=threading.Condition)
 
@@ -149,10 +154,20 @@
             return False
 
     def cancel(self, attempt: str) -> None:
-        """Stop a run."""
+        """Stop a run, and return once it has ended."""
         with self.condition:
             self.cancelled.add(attempt)
             self.condition.notify_all()
+            self.condition.wait_for(lambda: attempt not in self.active)
+
+    def set_active(self, attempt: str, active: bool) -> None:
+        """State whether a run goes on."""
+        with self.condition:
+            if active:
+                self.active.add(attempt)
+            else:
+                self.active.discard(attempt)
+                self.condition.notify_all()
 
 
 def work_factor(path: str, seed: int, sigma: float) -> float:
@@ -218,6 +233,7 @@
                 time.monotonic(),
             )
             state.journal.append(run)
+            state.set_active(attempt, True)
             try:
                 if not state.enter():
                     time.sleep(1.0)
@@ -232,17 +248,47 @@
             finally:
                 state.leave()
                 run.ended_at = time.monotonic()
+                state.set_active(attempt, False)
             if state.silent:
                 time.sleep(3600)
             if run.cancelled:
                 self.answer(499, b"cancelled", self._headers(attempt))
                 return
+            if self.path.startswith(LARGE_PATH):
+                self._answer_large(attempt)
+                return
             echo = f"{state.server.id} {self.command} {self.path} ".encode() + body
             self.answer(200, echo, self._headers(attempt))
 
+        def _answer_large(self, attempt: str) -> None:
+            body = large_body(int(self.path.removeprefix(LARGE_PATH)))
+            headers = {**self._headers(attempt), "ETag": f'"{len(body)}"'}
+            wanted = re.fullmatch(r"bytes=(\d+)-", self.headers.get("Range", ""))
+            status, first = 200, 0
+            if wanted and self.headers.get("If-Range") == headers["ETag"]:
+                status, first = 206, int(wanted[1])
+                headers["Content-Range"] = f"bytes {first}-{len(body) - 1}/{len(body)}"
+            if state.break_offs <= 0:
+                self.answer(status, body[first:], headers)
+                return
+            state.break_offs -= 1
+            headers["Content-Length"] = str(len(body) - first)
+            self.send_response_only(status)
+            for name, value in headers.items():
+                self.send_header(name, value)
+            self.end_headers()
+            self.wfile.write(body[first : first + (len(body) - first) // 2])
+            self.wfile.flush()
+            self.close_connection = True
+
     return Handler
 
 
+def large_body(size: int) -> bytes:
+    """Return the body of a large answer."""
+    return random.Random(size).randbytes(size)
+
+
 def make_control(state_by_id: dict[str, BackendState]) -> type[StandInHandler]:
     """Return a handler class for the control address."""
 
