--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -31,6 +31,7 @@
 from dotterelpier.services.membership import make_membership
 from dotterelpier.services.metrics import make_metrics
 from dotterelpier.services.routing import make_routing
+from dotterelpier.services.status import make_status
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.services.timer import make_timer
 from dotterelpier.settings import EntrySettings, Settings
@@ -147,6 +148,7 @@
     kernel.register(ServiceName.DIRECTORY, directory, (ServiceName.HOMES,))
     drain = make_drain(kernel, settings.directory)
     kernel.register(ServiceName.DRAIN, drain, (ServiceName.CALLS,))
+    kernel.register(ServiceName.STATUS, make_status(kernel), (ServiceName.DRAIN,))
 
 
 def _register_frontends(
@@ -160,4 +162,4 @@
     peers = make_peer_frontend(kernel, settings, entry.peer_address)
     kernel.register(ServiceName.PEER_FRONTEND, peers, needs)
     operators = make_operator_frontend(kernel, settings, entry.operator_address)
-    kernel.register(ServiceName.OPERATOR_FRONTEND, operators, needs)
+    kernel.register(ServiceName.OPERATOR_FRONTEND, operators, (ServiceName.STATUS,))
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -88,7 +88,7 @@
             service = call.service
             answer = self._calls.serve(call)
         except DotterelpierError as error:
-            _log_failure(call_id, service, error)
+            self._log_failure(call_id, service, error)
             answer = _problem(error)
         except Exception as error:
             logger.exception("call failed unexpectedly", call=call_id, service=service)
@@ -202,6 +202,21 @@
         start_response(status_line(answer.status), headers)
         return [answer.body] if answer.stream is None else answer.stream
 
+    def _log_failure(
+        self, call_id: str, service: str, error: DotterelpierError
+    ) -> None:
+        revision = self._manifest.current()
+        logger.warning(
+            "call failed",
+            call=call_id,
+            service=service,
+            revision=0 if revision is None else revision.number,
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            error=error.message,
+        )
+
     def _count(self, service: str, answer: Answer, started_at: float) -> None:
         if not service:
             return
@@ -229,18 +244,6 @@
     return InvalidCallError(message, step="callers.decode")
 
 
-def _log_failure(call_id: str, service: str, error: DotterelpierError) -> None:
-    logger.warning(
-        "call failed",
-        call=call_id,
-        service=service,
-        code=error.code,
-        step=error.step,
-        peer=error.peer,
-        error=error.message,
-    )
-
-
 def _problem(error: DotterelpierError) -> Answer:
     outcome = problem_outcome(error)
     if not isinstance(error, CallError):
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -26,6 +26,7 @@
     SlotOffer,
 )
 from dotterelpier.model.platform import Row, Vm, Write
+from dotterelpier.model.status import EntryStatus
 
 
 class ServiceName(str, Enum):
@@ -52,6 +53,7 @@
     CALLS = "calls"
     DIRECTORY = "directory"
     DRAIN = "drain"
+    STATUS = "status"
     CALLER_FRONTEND = "caller_frontend"
     RELAY_FRONTEND = "relay_frontend"
     PEER_FRONTEND = "peer_frontend"
@@ -204,6 +206,13 @@
         """Add a value to a histogram."""
         ...
 
+    def keep_label_values(self, label: str, values: frozenset[str]) -> None:
+        """Allow only these values of a label and drop the series of others.
+
+        What is counted under any other value is counted under ``"other"``.
+        """
+        ...
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         ...
@@ -556,6 +565,22 @@
         ...
 
 
+class Status(Protocol):
+    """Status of this entry, for operators."""
+
+    def healthy(self) -> bool:
+        """Tell whether the entry takes new work and is not stopping."""
+        ...
+
+    def entry(self) -> EntryStatus:
+        """Return the status of this entry."""
+        ...
+
+    def publish(self) -> None:
+        """Set the gauges among the metrics to the status."""
+        ...
+
+
 @runtime_checkable
 class Policy(Protocol):
     """Chooses among candidates with known free slots."""
--- a/dotterelpier/services/audit.py
+++ b/dotterelpier/services/audit.py
@@ -10,7 +10,14 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.platform import Write
-from dotterelpier.protocols import Audit, ServiceName, Table, TaskKind, Tasks
+from dotterelpier.protocols import (
+    Audit,
+    Metrics,
+    ServiceName,
+    Table,
+    TaskKind,
+    Tasks,
+)
 from dotterelpier.wire.rows import AUDIT_PREFIX, encode_row
 
 MAX_QUEUED = 1000
@@ -28,6 +35,7 @@
 
     _table: Table
     _tasks: Tasks
+    _metrics: Metrics
     _queue: "SimpleQueue[AuditEntry | None]" = field(factory=SimpleQueue)
 
     def start(self) -> None:
@@ -45,7 +53,7 @@
     def record(self, entry: AuditEntry) -> None:
         """Add an entry soon, in the background."""
         if self._queue.qsize() >= MAX_QUEUED:
-            logger.warning("audit entry dropped", event=entry.event)
+            self._drop(entry, "too many are queued")
             return
         self._queue.put(entry)
 
@@ -53,14 +61,21 @@
         while (entry := self._queue.get()) is not None:
             try:
                 self._table.commit([entry_write(entry)])
+                self._metrics.count("audit_written")
             except PlatformError as error:
-                logger.warning(
-                    "audit entry not written", event=entry.event, error=str(error)
-                )
+                self._drop(entry, str(error))
+
+    def _drop(self, entry: AuditEntry, reason: str) -> None:
+        self._metrics.count("audit_dropped")
+        logger.warning(
+            "audit entry dropped", event=entry.event, peer=entry.peer, error=reason
+        )
 
 
 def make_audit(kernel: Kernel) -> Audit:
     """Return the audit trail."""
     return TableAudit(
-        kernel.find(ServiceName.TABLE, Table), kernel.find(ServiceName.TASKS, Tasks)
+        kernel.find(ServiceName.TABLE, Table),
+        kernel.find(ServiceName.TASKS, Tasks),
+        kernel.find(ServiceName.METRICS, Metrics),
     )
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -11,6 +11,8 @@
     generate_latest,
 )
 
+from dotterelpier.model.call import Outcome
+from dotterelpier.model.evidence import ExchangeResult
 from dotterelpier.protocols import Metrics
 
 NAMESPACE = "dotterelpier"
@@ -32,6 +34,17 @@
 )
 
 
+# Stands for every value of a label that is not allowed.
+OTHER = "other"
+
+# Allowed values of each label; those of a service come from the manifest.
+VALUES_BY_LABEL: Mapping[str, frozenset[str]] = {
+    "service": frozenset(),
+    "outcome": frozenset(outcome.value for outcome in Outcome),
+    "result": frozenset(result.value for result in ExchangeResult),
+}
+
+
 @frozen
 class MetricDeclaration:
     """A metric's kind, help text and labels."""
@@ -51,6 +64,38 @@
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
+    "audit_written": MetricDeclaration(Counter, "Audit entries written."),
+    "audit_dropped": MetricDeclaration(Counter, "Audit entries dropped."),
+    "revision": MetricDeclaration(Gauge, "Manifest revision in force, 0 if none."),
+    "assignment": MetricDeclaration(Gauge, "Number of the assignment in force."),
+    "lease_left_seconds": MetricDeclaration(
+        Gauge, "Rest of the own lease in seconds, negative once it lapsed."
+    ),
+    "platform_reached": MetricDeclaration(
+        Gauge, "1 if the platform answered lately, else 0."
+    ),
+    "taking_work": MetricDeclaration(Gauge, "1 if new work is taken, else 0."),
+    "stopping": MetricDeclaration(Gauge, "1 during the planned stop, else 0."),
+    "calls_in_flight": MetricDeclaration(Gauge, "Calls being served."),
+    "members": MetricDeclaration(Gauge, "Members with a lease row, this one included."),
+    "members_heard": MetricDeclaration(Gauge, "Live members, this one included."),
+    "homes": MetricDeclaration(Gauge, "Backend servers whose home this entry is."),
+    "cold_servers": MetricDeclaration(
+        Gauge, "Backend servers held below their slots, of those at home here."
+    ),
+    "refused_servers": MetricDeclaration(
+        Gauge, "Backend servers without evidence for new work, of those at home here."
+    ),
+    "evidence_age_max_seconds": MetricDeclaration(
+        Gauge, "Age in seconds of the oldest evidence at home here, -1 if none."
+    ),
+    "slots": MetricDeclaration(
+        Gauge, "Requests that backend servers at home here bear now.", ("service",)
+    ),
+    "free_slots": MetricDeclaration(Gauge, "Slots free here.", ("service",)),
+    "waiting_calls": MetricDeclaration(
+        Gauge, "Calls waiting here for a slot.", ("service",)
+    ),
 }
 
 
@@ -60,6 +105,7 @@
 
     _registry: CollectorRegistry
     _metric_by_name: dict[str, Counter | Gauge | Histogram] = field(factory=dict)
+    _values_by_label: dict[str, frozenset[str]] = field(factory=dict)
 
     def count(self, name: str, amount: float = 1.0, **labels: str) -> None:
         """Add to a counter."""
@@ -73,27 +119,61 @@
         """Add a value to a histogram."""
         self._labelled(name, labels).observe(value)
 
+    def keep_label_values(self, label: str, values: frozenset[str]) -> None:
+        """Allow only these values of a label and drop the series of others."""
+        dropped = self._values_by_label[label] - values
+        self._values_by_label[label] = values
+        for name, item in DECLARATION_BY_NAME.items():
+            if label not in item.labels:
+                continue
+            for value in dropped:
+                self._metric_by_name[name].remove_by_labels({label: value})
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
     def _labelled(self, name: str, labels: dict[str, str]):  # type: ignore[no-untyped-def]
         metric = self._metric_by_name[name]
-        return metric.labels(**labels) if labels else metric
+        if not labels:
+            return metric
+        allowed = self._values_by_label
+        return metric.labels(
+            **{
+                label: value if value in allowed[label] else OTHER
+                for label, value in labels.items()
+            }
+        )
 
 
 def make_metrics() -> Metrics:
-    """Return metrics for all declarations, none counted yet."""
+    """Return metrics for all declarations, none counted yet.
+
+    Raises
+    ------
+    ValueError
+        If a declaration has a label whose values are not bounded.
+    """
     registry = CollectorRegistry()
-    metric_by_name: dict[str, Counter | Gauge | Histogram] = {}
-    for name, item in DECLARATION_BY_NAME.items():
-        options = {"buckets": LATENCY_BUCKETS_S} if item.kind is Histogram else {}
-        metric_by_name[name] = item.kind(
-            name,
-            item.help,
-            item.labels,
-            namespace=NAMESPACE,
-            registry=registry,
-            **options,  # type: ignore[arg-type]
-        )
-    return PrometheusMetrics(registry, metric_by_name)
+    metric_by_name = {
+        name: _make_metric(name, item, registry)
+        for name, item in DECLARATION_BY_NAME.items()
+    }
+    return PrometheusMetrics(registry, metric_by_name, dict(VALUES_BY_LABEL))
+
+
+def _make_metric(
+    name: str, item: MetricDeclaration, registry: CollectorRegistry
+) -> Counter | Gauge | Histogram:
+    for label in item.labels:
+        if label not in VALUES_BY_LABEL:
+            raise ValueError(f"metric {name!r}: values of {label!r} are not bounded")
+    options = {"buckets": LATENCY_BUCKETS_S} if item.kind is Histogram else {}
+    return item.kind(
+        name,
+        item.help,
+        item.labels,
+        namespace=NAMESPACE,
+        registry=registry,
+        **options,  # type: ignore[arg-type]
+    )
