Mutual TLS for the control messages between entries

[tls] in the settings names certificate, key and authorities. Both sides must prove themselves; a peer without a certificate, one signed by another authority and one whose certificate does not name its address are refused. Calls relayed over HTTP are not covered: waitress has no TLS.

--- a/dotterelpier/clients/peers.py
+++ b/dotterelpier/clients/peers.py
@@ -10,6 +10,7 @@
 from dotterelpier.model.manifest import Revision
 from dotterelpier.model.membership import HandoverState, Heartbeat, Member, SlotOffer
 from dotterelpier.protocols import Peers
+from dotterelpier.tls import TlsKeys
 from dotterelpier.wire import peers as wire
 from dotterelpier.wire import peers_pb2, peers_pb2_grpc
 
@@ -30,6 +31,7 @@
     """Channels to peers, one for each address."""
 
     _own_id: str
+    _keys: TlsKeys | None = None
     _channel_by_address: dict[str, grpc.Channel] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
@@ -108,10 +110,16 @@
         with self._lock:
             channel = self._channel_by_address.get(address)
             if channel is None:
-                channel = grpc.insecure_channel(address, CHANNEL_OPTIONS)
+                channel = self._open_channel(address)
                 self._channel_by_address[address] = channel
         return peers_pb2_grpc.PeersStub(channel)
 
+    def _open_channel(self, address: str) -> grpc.Channel:
+        if self._keys is None:
+            return grpc.insecure_channel(address, CHANNEL_OPTIONS)
+        credentials = self._keys.channel_credentials()
+        return grpc.secure_channel(address, credentials, CHANNEL_OPTIONS)
+
     def _forget(self, address: str) -> None:
         with self._lock:
             channel = self._channel_by_address.pop(address, None)
@@ -124,6 +132,6 @@
     return PeerUnavailableError(str(detail), step=step, peer=peer)
 
 
-def make_peers(own_id: str) -> Peers:
-    """Return the control messages to other entries."""
-    return PeerClient(own_id)
+def make_peers(own_id: str, keys: TlsKeys | None = None) -> Peers:
+    """Return the control messages to other entries, encrypted if there are keys."""
+    return PeerClient(own_id, keys)
--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -36,6 +36,7 @@
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.services.timer import make_timer
 from dotterelpier.settings import EntrySettings, Settings
+from dotterelpier.tls import read_tls_keys
 
 
 def run_entry(settings: Settings) -> None:
@@ -105,7 +106,7 @@
     kernel.register(ServiceName.OBJECTS, platform)
     kernel.register(ServiceName.VMS, platform)
     kernel.register(ServiceName.AUDIT, make_audit(kernel), (tasks,))
-    kernel.register(ServiceName.PEERS, make_peers(own_id))
+    kernel.register(ServiceName.PEERS, make_peers(own_id, read_tls_keys(settings.tls)))
     backends = make_backends(kernel, settings.limits)
     kernel.register(ServiceName.BACKENDS, backends, (timer,))
     relays = make_relays(kernel, settings.limits, own_id)
--- a/dotterelpier/frontends/peers.py
+++ b/dotterelpier/frontends/peers.py
@@ -17,6 +17,7 @@
     Timer,
 )
 from dotterelpier.settings import Settings
+from dotterelpier.tls import TlsKeys, read_tls_keys
 from dotterelpier.wire import peers as wire
 from dotterelpier.wire import peers_pb2, peers_pb2_grpc
 
@@ -84,6 +85,7 @@
     _servicer: PeerServicer
     _address: str
     _threads: int
+    _keys: TlsKeys | None = None
     _server: grpc.Server | None = None
 
     def start(self) -> None:
@@ -97,9 +99,15 @@
         executor = ThreadPoolExecutor(self._threads, thread_name_prefix="peer_frontend")
         self._server = grpc.server(executor, options=SERVER_OPTIONS)
         peers_pb2_grpc.add_PeersServicer_to_server(self._servicer, self._server)
-        self._server.add_insecure_port(self._address)
+        self._add_port(self._server)
         self._server.start()
 
+    def _add_port(self, server: grpc.Server) -> None:
+        if self._keys is None:
+            server.add_insecure_port(self._address)
+        else:
+            server.add_secure_port(self._address, self._keys.server_credentials())
+
     def stop(self) -> None:
         """Stop serving."""
         if self._server is not None:
@@ -109,7 +117,13 @@
 def make_peer_frontend(
     kernel: Kernel, settings: Settings, address: str
 ) -> PeerFrontend:
-    """Return the front end for other entries."""
+    """Return the front end for other entries.
+
+    Raises
+    ------
+    SettingsError
+        If a file with keys cannot be read.
+    """
     servicer = PeerServicer(
         kernel.find(ServiceName.TIMER, Timer),
         kernel.find(ServiceName.MEMBERSHIP, Membership),
@@ -117,4 +131,5 @@
         kernel.find(ServiceName.ADMISSION, Admission),
         kernel.find(ServiceName.HOMES, Homes),
     )
-    return PeerFrontend(servicer, address, settings.limits.peer_threads)
+    keys = read_tls_keys(settings.tls)
+    return PeerFrontend(servicer, address, settings.limits.peer_threads, keys)
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -148,6 +148,25 @@
     level: str = field(default="INFO", validator=in_(LOG_LEVELS))
 
 
+@frozen
+class TlsSettings:
+    """Files for TLS on the channel for control messages between entries.
+
+    Attributes
+    ----------
+    certificate_file : str
+        Own certificate chain in PEM; it must name the IP of ``peer_address``.
+    key_file : str
+        Private key of the certificate, in PEM.
+    ca_file : str
+        Certificates in PEM of the authorities that sign those of the entries.
+    """
+
+    certificate_file: str
+    key_file: str
+    ca_file: str
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -158,6 +177,16 @@
         Used by entries and by operators' commands.
     entry : EntrySettings or None
         Only for entries.
+    lease : LeaseSettings
+        Lease of the entry and contact with its peers.
+    limits : LimitSettings
+        Sizes of the executors and buffers.
+    directory : DirectorySettings
+        Answers to callers that ask which entries to use.
+    log : LogSettings
+        Logs.
+    tls : TlsSettings or None
+        Without it, control messages between entries are not encrypted.
     """
 
     platform: PlatformSettings
@@ -166,6 +195,7 @@
     limits: LimitSettings = Factory(LimitSettings)
     directory: DirectorySettings = Factory(DirectorySettings)
     log: LogSettings = Factory(LogSettings)
+    tls: TlsSettings | None = None
 
 
 def read_settings(path: Path) -> Settings:
