--- a/dotterelpier/clients/relays.py
+++ b/dotterelpier/clients/relays.py
@@ -19,6 +19,7 @@
     Clock,
     Exchange,
     Relays,
+    Routing,
     ServiceName,
     TaskKind,
     Tasks,
@@ -65,6 +66,7 @@
 
     _pool: ConnectionPool
     _clock: Clock
+    _routing: Routing
     _own_id: str
 
     def start(self) -> None:
@@ -81,7 +83,7 @@
             self._request(member, attempt),
             attempt.deadline_at,
             attempt.whole_answer_bytes,
-            decode=lambda answer: _decode(answer, attempt, member),
+            decode=lambda answer: self._decode(answer, attempt, member),
         )
         self._pool.send(member.relay_address, pooled, fresh=attempt.fresh_connection)
         return RelayExchange(pooled.answer, pooled.ended)
@@ -103,12 +105,18 @@
         target = f"/{call.service}{call.path}"
         return HttpRequest(call.method, target, headers, call.body)
 
+    def _decode(self, received: HttpAnswer, attempt: Attempt, member: Member) -> Answer:
+        echoed = received.header(ATTEMPT_HEADER)
+        if echoed != attempt.id:
+            message = f"answer to attempt {echoed!r}, not {attempt.id!r}"
+            raise AnswerMismatchError(message, step="relay.answer", peer=member.id)
+        load = read_service_load(received.header(LOAD_HEADER))
+        if load is not None:
+            self._routing.learn(member.id, attempt.call.service, load)
+        return _decode(received, member)
 
-def _decode(received: HttpAnswer, attempt: Attempt, member: Member) -> Answer:
-    echoed = received.header(ATTEMPT_HEADER)
-    if echoed != attempt.id:
-        message = f"answer to attempt {echoed!r}, not {attempt.id!r}"
-        raise AnswerMismatchError(message, step="relay.answer", peer=member.id)
+
+def _decode(received: HttpAnswer, member: Member) -> Answer:
     outcome = received.header(OUTCOME_HEADER)
     if outcome == Outcome.NOT_RUN:
         message = f"relay refused with status {received.status}"
@@ -122,7 +130,6 @@
         stream=received.stream,
         length=received.length,
         peer=member.id,
-        peer_load=read_service_load(received.header(LOAD_HEADER)),
     )
 
 
@@ -137,4 +144,5 @@
         kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.TIMER, Timer),
     )
-    return RelayClient(pool, clock, own_id)
+    routing = kernel.find(ServiceName.ROUTING, Routing)
+    return RelayClient(pool, clock, routing, own_id)
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -47,6 +47,7 @@
     EVIDENCE = "evidence"
     ADMISSION = "admission"
     ROUTING = "routing"
+    PULLING = "pulling"
     BACKENDS = "backends"
     RELAYS = "relays"
     CLAIMS = "claims"
@@ -67,6 +68,7 @@
     TIMER = "timer"
     CONTROL = "control"
     PEER = "peer"
+    OFFER = "offer"
     HANDOVER = "handover"
     MEASURE = "measure"
     BACKEND_CONNECTION = "backend_connection"
@@ -419,8 +421,25 @@
         """Give a slot offered by a peer to a waiting call, if there is one."""
         ...
 
-    def redeem(self, reservation: str) -> Slot | None:
-        """Return the slot reserved under a token, once."""
+    def reserve(self, service: str) -> tuple[Slot, str] | None:
+        """Hold a free slot that no call here waits for, under a new token.
+
+        The slot is free again unless it is redeemed within a second. Returns None
+        if no slot is free or calls wait here.
+        """
+        ...
+
+    def redeem(
+        self, reservation: str, deadline_at: float = float("inf")
+    ) -> Slot | None:
+        """Return the slot reserved under a token, once, for a call with a deadline."""
+        ...
+
+    def subscribe_free(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with a service that has a slot free and nobody waiting.
+
+        The listener runs on the thread that freed the slot and must not block.
+        """
         ...
 
     def bearing(self, backend_id: str) -> HandoverState:
@@ -495,10 +514,44 @@
         """Return a member likely to have a slot free, or None."""
         ...
 
+    def choose_busy_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
+        """Return a home of the service that is not known to have a slot free.
+
+        Its refusal of a call tells it that the call waits here.
+        """
+        ...
+
     def learn(self, member_id: str, service: str, load: ServiceLoad) -> None:
         """Take in the load that a peer reported with a relayed answer."""
         ...
 
+    def note_refused(self, member_id: str, service: str) -> None:
+        """Take in that a peer's call found no slot here and waits there."""
+        ...
+
+    def note_none_waiting(self, member_id: str, service: str) -> None:
+        """Take in that a peer did not need a slot offered to it."""
+        ...
+
+    def take_waiting_peer(self, service: str) -> Member | None:
+        """Return the member known to hold most waiting calls, or None.
+
+        One call less counts as waiting there afterwards.
+        """
+        ...
+
+    def load_of(self, member_id: str, service: str) -> ServiceLoad | None:
+        """Return the last load known of a peer, or None."""
+        ...
+
+
+class Pulling(Protocol):
+    """Lets peers pull their waiting calls to slots that come free here."""
+
+    def offer(self, service: str) -> None:
+        """Offer a free slot of a service to a peer whose calls wait, if any."""
+        ...
+
 
 class Claims(Protocol):
     """Idempotency keys, claimed before anything is sent."""
@@ -619,3 +672,14 @@
     def choose(self, free_by_id: dict[str, int]) -> str | None:
         """Return the id of the chosen candidate, or None if there is none."""
         ...
+
+
+@runtime_checkable
+class ServerPolicy(Protocol):
+    """Chooses a backend server where entries share nothing."""
+
+    def choose(
+        self, servers: list[BackendServer], load_by_id: dict[str, int]
+    ) -> BackendServer:
+        """Return one of the servers, given the requests counted at each."""
+        ...
