Every key of settings and manifest described; all faults named at once

A constructor named only the first value out of its limits, so two faults in one table took two runs to find; now each value is checked.

Before: 'slots = 0' with 'cold_slots = 0' names slots only. After: both, each at its key.

--- a/dotterelpier/model/manifest.py
+++ b/dotterelpier/model/manifest.py
@@ -29,7 +29,7 @@
     region : str
         Region that the zone is part of.
     state : ZoneState
-        ``OUT`` while operators hold the zone out of service.
+        ``out`` while operators hold the zone out of service, else ``in``.
     """
 
     name: str
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -24,9 +24,14 @@
         Name of the entry, unique among the entries of a tenant.
     zone : str
         Availability zone of its VM.
-    caller_address, relay_address, peer_address, operator_address : str
-        ``IP:port`` to listen on for callers, relayed calls of other entries,
-        control messages of other entries, and operators.
+    caller_address : str
+        ``IP:port`` to listen on for callers.
+    relay_address : str
+        ``IP:port`` to listen on for calls that other entries relay.
+    peer_address : str
+        ``IP:port`` to listen on for control messages of other entries.
+    operator_address : str
+        ``IP:port`` to listen on for operators: metrics, health and status.
     """
 
     name: str
@@ -94,16 +99,24 @@
 
     Attributes
     ----------
-    caller_threads, relay_threads, peer_threads : int
-        Threads that serve callers, relayed calls and control messages.
-    backend_connections, relay_connections : int
-        Connections, each with a task, to backend servers and other entries.
+    caller_threads : int
+        Threads that serve callers; as many calls can be in flight at once.
+    relay_threads : int
+        Threads that serve calls relayed by other entries.
+    peer_threads : int
+        Threads that serve control messages of other entries.
+    backend_connections : int
+        Connections to backend servers, each with a task.
+    relay_connections : int
+        Connections to other entries for relayed calls, each with a task.
     peers : int
         Peers, each with a task.
     measured : int
         Backend servers measured, each with a task.
-    max_body_bytes, max_header_bytes : int
-        Largest request body and headers of a caller, in bytes.
+    max_body_bytes : int
+        Largest request body of a caller, in bytes.
+    max_header_bytes : int
+        Largest request line and headers of a caller together, in bytes.
     idle_connection_s : float
         Age at which an idle connection is closed, in seconds.
     """
--- a/dotterelpier/wire/structure.py
+++ b/dotterelpier/wire/structure.py
@@ -2,16 +2,19 @@
 
 import json
 import re
+from collections.abc import Iterable
 from enum import Enum
-from typing import Any, TypeVar
+from types import NoneType
+from typing import Any, TypeVar, get_args, get_type_hints
 
+import attrs
 from cattrs import Converter, transform_error
 from cattrs.errors import ClassValidationError, IterableValidationError
 
 T = TypeVar("T")
 
 # How the validators of attrs name the attribute that is out of its limits.
-LIMIT_FAULT = re.compile(r"'(?P<key>\w+)' (?P<message>must be .*)", re.DOTALL)
+LIMIT_FAULT = re.compile(r"'\w+' (?=must be )")
 
 
 def _make_converter() -> Converter:
@@ -46,7 +49,8 @@
         return _CONVERTER.structure(data, kind)
     except (ClassValidationError, IterableValidationError) as error:
         faults = transform_error(error, path="", format_exception=_fault)
-        raise ValueError(*map(_key_first, faults)) from None
+        named = [_key_first(fault) for fault in faults if not LIMIT_FAULT.match(fault)]
+        raise ValueError(*named, *_limit_faults(data, kind, "")) from None
     except (TypeError, KeyError, ValueError, AttributeError) as error:
         raise ValueError(_fault(error, kind)) from None
 
@@ -73,11 +77,37 @@
     return structure(json.loads(content), kind)
 
 
+def _limit_faults(data: Any, kind: Any, path: str) -> Iterable[str]:
+    """Yield every value out of its limits; a constructor names only the first."""
+    items = [item for item in get_args(kind) if item not in (NoneType, Ellipsis)]
+    if items and isinstance(data, list):
+        for index, element in enumerate(data):
+            yield from _limit_faults(element, items[0], f"{path}[{index}]")
+    inner = items[0] if items else kind
+    if not attrs.has(inner) or not isinstance(data, dict):
+        return
+    hints = get_type_hints(inner)
+    for item in attrs.fields(inner):
+        if item.name not in data:
+            continue
+        item_path = f"{path}.{item.name}"
+        yield from _limit_faults(data[item.name], hints[item.name], item_path)
+        if item.validator is not None:
+            yield from _value_fault(data[item.name], item, item_path)
+
+
+def _value_fault(value: Any, item: "attrs.Attribute[Any]", path: str) -> Iterable[str]:
+    try:
+        item.validator(None, item, value)  # type: ignore[misc]
+    except ValueError as error:
+        message = LIMIT_FAULT.sub("", str(error.args[0]))
+        yield f"{path.lstrip('.')}: {message}"
+    except TypeError:
+        return
+
+
 def _key_first(fault: str) -> str:
     message, _, path = fault.rpartition(" @ ")
-    limit = LIMIT_FAULT.match(message)
-    if limit:
-        path, message = f"{path}.{limit['key']}", limit["message"]
     path = path.lstrip(".")
     return f"{path}: {message}" if path else message
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -110,11 +110,13 @@
 def test_check_names_every_fault_at_once(environment, tmp_path) -> None:
     file = tmp_path / "bad.toml"
     text = CARONI.read_text().replace('state = "in"', 'state = "off"', 1)
-    file.write_text(text.replace("slots = 4", "slots = 0", 1))
+    text = text.replace("slots = 4", "slots = 0", 1)
+    file.write_text(text.replace("cold_slots = 1", "cold_slots = 0", 1))
     status, _, errors = _run(environment, "manifest", "check", str(file))
     assert status is ExitStatus.MANIFEST_INVALID
     assert f"{file}: zones[0].state:" in errors
-    assert f"{file}: backend_servers[0].slots:" in errors
+    assert f"{file}: backend_servers[0].slots: must be >= 1" in errors
+    assert f"{file}: backend_servers[0].cold_slots: must be >= 1" in errors
 
 
 def test_apply_reads_standard_input_and_keeps_the_apply_id(
