--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -33,6 +33,7 @@
 from dotterelpier.services.metrics import make_metrics
 from dotterelpier.services.pulling import make_pulling
 from dotterelpier.services.routing import make_routing
+from dotterelpier.services.status import make_status
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.services.timer import make_timer
 from dotterelpier.services.unshared import (
@@ -40,6 +41,7 @@
     make_unshared_admission,
 )
 from dotterelpier.settings import EntrySettings, Settings
+from dotterelpier.tls import read_tls_keys
 
 
 def run_entry(settings: Settings) -> None:
@@ -109,7 +111,7 @@
     kernel.register(ServiceName.OBJECTS, platform)
     kernel.register(ServiceName.VMS, platform)
     kernel.register(ServiceName.AUDIT, make_audit(kernel), (tasks,))
-    kernel.register(ServiceName.PEERS, make_peers(own_id))
+    kernel.register(ServiceName.PEERS, make_peers(own_id, read_tls_keys(settings.tls)))
     backends = make_backends(kernel, settings.limits)
     kernel.register(ServiceName.BACKENDS, backends, (timer,))
 
@@ -173,6 +175,7 @@
     kernel.register(ServiceName.DIRECTORY, directory, (ServiceName.HOMES,))
     drain = make_drain(kernel, settings.directory)
     kernel.register(ServiceName.DRAIN, drain, (ServiceName.CALLS,))
+    kernel.register(ServiceName.STATUS, make_status(kernel), (ServiceName.DRAIN,))
 
 
 def _register_frontends(
@@ -186,4 +189,4 @@
     peers = make_peer_frontend(kernel, settings, entry.peer_address)
     kernel.register(ServiceName.PEER_FRONTEND, peers, needs)
     operators = make_operator_frontend(kernel, settings, entry.operator_address)
-    kernel.register(ServiceName.OPERATOR_FRONTEND, operators, needs)
+    kernel.register(ServiceName.OPERATOR_FRONTEND, operators, (ServiceName.STATUS,))
--- a/dotterelpier/model/evidence.py
+++ b/dotterelpier/model/evidence.py
@@ -95,3 +95,10 @@
     report: LoadReport | None = None
     latency_s: float = 0.0
     from_probe: bool = False
+
+
+class MeasuringKind(str, Enum):
+    """What the bytes of measuring were spent on."""
+
+    PROBE = "probe"
+    REPORT = "report"
--- a/dotterelpier/services/evidence.py
+++ b/dotterelpier/services/evidence.py
@@ -18,6 +18,7 @@
 from dotterelpier.model.evidence import (
     ExchangeResult,
     LoadReport,
+    MeasuringKind,
     Observation,
     Readiness,
 )
@@ -108,7 +109,7 @@
             listeners = tuple(self._listeners)
         report = observation.report
         if measured is not None and report is not None and not observation.from_probe:
-            self._count_bytes(measured.server, "report", report.size_bytes)
+            self._count_bytes(measured.server, MeasuringKind.REPORT, report.size_bytes)
         for listener in listeners:
             listener(observation)
 
@@ -243,10 +244,14 @@
         service = server.service
         self._metrics.count("probes", service=service, result=result.value)
         self._metrics.count("measuring_slot_seconds", duration_s, service=service)
-        self._count_bytes(server, "probe", size_bytes)
+        self._count_bytes(server, MeasuringKind.PROBE, size_bytes)
 
-    def _count_bytes(self, server: BackendServer, kind: str, size: int) -> None:
-        self._metrics.count("measuring_bytes", size, service=server.service, kind=kind)
+    def _count_bytes(
+        self, server: BackendServer, kind: MeasuringKind, size: int
+    ) -> None:
+        self._metrics.count(
+            "measuring_bytes", size, service=server.service, kind=kind.value
+        )
 
     def _watch_vms(self, subscription: Subscription) -> None:
         while subscription.wait():
