--- a/bench/plan.py
+++ b/bench/plan.py
@@ -1,5 +1,6 @@
 """Seeded schedules of calls, and the service times that belong to them."""
 
+import os
 import random
 from collections.abc import Sequence
 
@@ -9,7 +10,7 @@
 from dotterelpier.model.manifest import Manifest
 from tests.standins.backend import work_factor
 
-SERVICE_S = 0.25
+SERVICE_S = float(os.environ.get("DOTTERELPIER_BENCH_SERVICE_S", "0.25"))
 SIGMA = 1.0
 DRAW_SEED = 7
 
--- a/bench/summary.py
+++ b/bench/summary.py
@@ -6,14 +6,14 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.ideal import single_queue_latencies
-from bench.plan import arrivals_of, slots_by_service
+from bench.plan import SERVICE_S, arrivals_of, slots_by_service
 from bench.scenarios import SLOW_EVERY, SLOWNESS, Scenario
 from bench.system import LoadResult
 from dotterelpier.model.manifest import Manifest
 
 MAX_LATENCY_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
-IN_TIME_S = 5.0
+IN_TIME_S = 20 * SERVICE_S
 WINDOW_S = 0.1
 SHARES = {"p50_ms": 50.0, "p99_ms": 99.0, "p99_9_ms": 99.9}
 
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,82 @@
+"""Entries that callers are told to use."""
+
+import pytest
+from attrs import define, field
+
+from dotterelpier.errors import UnknownServiceError
+from dotterelpier.kernel import make_kernel
+from dotterelpier.model.membership import Assignment, Home, Member, ServiceLoad
+from dotterelpier.protocols import ServiceName
+from dotterelpier.services.directory import make_directory
+from dotterelpier.settings import DirectorySettings
+from tests.test_unshared import SERVICE, FakeManifest
+
+
+@define
+class Fakes:
+    """Members, homes and loads of one case."""
+
+    members: tuple[Member, ...]
+    home_by_backend_id: dict[str, Home]
+    load_by_member_id: dict[str, ServiceLoad] = field(factory=dict)
+
+    def me(self) -> Member:
+        return self.members[0]
+
+    def live_by_id(self) -> dict[str, Member]:
+        return {member.id: member for member in self.members}
+
+    def assignment(self) -> Assignment:
+        return Assignment(1, self.home_by_backend_id)
+
+    def load_of(self, member_id: str, service: str) -> ServiceLoad | None:
+        return self.load_by_member_id.get(member_id)
+
+    def load_by_service(self) -> dict[str, ServiceLoad]:
+        load = self.load_by_member_id.get(self.me().id)
+        return {} if load is None else {SERVICE: load}
+
+
+def make_member(member_id: str, zone: str, leaving: bool = False) -> Member:
+    address = f"{member_id}:8000"
+    return Member(member_id, zone, address, "", "", leaving=leaving)
+
+
+def weight_by_address(fakes: Fakes) -> dict[str, int]:
+    kernel = make_kernel()
+    kernel.register(ServiceName.MANIFEST, FakeManifest())
+    for name in (
+        ServiceName.MEMBERSHIP,
+        ServiceName.HOMES,
+        ServiceName.ADMISSION,
+        ServiceName.ROUTING,
+    ):
+        kernel.register(name, fakes)
+    directory = make_directory(kernel, DirectorySettings())
+    with pytest.raises(UnknownServiceError):
+        directory.entries("nothing")
+    return {entry.address: entry.weight for entry in directory.entries(SERVICE).entries}
+
+
+MEMBERS = (
+    make_member("a", "tt-north-1"),
+    make_member("b", "tt-north-2"),
+    make_member("c", "tt-north-1"),
+)
+HOMES = {"one": Home("a"), "two": Home("b"), "three": Home("b")}
+
+
+def test_homes_come_first_weighted_by_declared_slots() -> None:
+    weights = weight_by_address(Fakes(MEMBERS, HOMES))
+    assert list(weights.items()) == [("a:8000", 4), ("b:8000", 8), ("c:8000", 1)]
+
+
+def test_reported_slots_replace_declared_ones() -> None:
+    loads = {"a": ServiceLoad(0, 1), "b": ServiceLoad(0, 8)}
+    weights = weight_by_address(Fakes(MEMBERS, HOMES, loads))
+    assert (weights["a:8000"], weights["b:8000"]) == (1, 8)
+
+
+def test_leaving_entries_are_not_named() -> None:
+    members = (MEMBERS[0], make_member("b", "tt-north-2", leaving=True), MEMBERS[2])
+    assert "b:8000" not in weight_by_address(Fakes(members, HOMES))
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,116 @@
+"""Choice of another home from loads heard, and of peers whose calls wait."""
+
+from collections.abc import Callable
+
+import pytest
+from attrs import define, field
+
+from dotterelpier.kernel import make_kernel
+from dotterelpier.model.membership import Heartbeat, Member, PeerStatus, ServiceLoad
+from dotterelpier.protocols import Routing, ServiceName
+from dotterelpier.services.routing import LoadRouting, make_routing
+
+SERVICE = "catalogue"
+NOBODY: frozenset[str] = frozenset()
+
+
+def make_member(member_id: str) -> Member:
+    return Member(member_id, "tt-north-1", "a:1", "a:2", "a:3")
+
+
+@define
+class FakeMembership:
+    """Members whose heartbeats the test sends."""
+
+    member_by_id: dict[str, Member] = field(factory=dict)
+    leaving_ids: set[str] = field(factory=set)
+    listeners: list[Callable[[Member, Heartbeat], None]] = field(factory=list)
+
+    def me(self) -> Member:
+        return make_member("me")
+
+    def known_by_id(self) -> dict[str, Member]:
+        return self.member_by_id
+
+    def peers(self) -> tuple[PeerStatus, ...]:
+        return tuple(
+            PeerStatus(member, Heartbeat(member.id, leaving=key in self.leaving_ids))
+            for key, member in self.member_by_id.items()
+        )
+
+    def subscribe(self, listener: Callable[[Member, Heartbeat], None]) -> None:
+        self.listeners.append(listener)
+
+    def hear(self, member_id: str, load: ServiceLoad) -> None:
+        member = self.member_by_id[member_id]
+        beat = Heartbeat(member_id, load_by_service={SERVICE: load})
+        for listener in self.listeners:
+            listener(member, beat)
+
+
+@pytest.fixture
+def membership() -> FakeMembership:
+    return FakeMembership({key: make_member(key) for key in ("a", "b", "c")})
+
+
+@pytest.fixture
+def routing(membership: FakeMembership) -> Routing:
+    kernel = make_kernel()
+    kernel.register(ServiceName.MEMBERSHIP, membership)
+    made = make_routing(kernel, seed=1)
+    assert isinstance(made, LoadRouting)
+    made.start()
+    return made
+
+
+def test_only_peers_with_free_slots_are_chosen(membership, routing) -> None:
+    membership.hear("a", ServiceLoad(0, 4))
+    membership.hear("b", ServiceLoad(2, 4))
+    assert {routing.choose_peer(SERVICE, NOBODY).id for _ in range(2)} == {"b"}
+
+
+def test_a_choice_takes_one_of_the_known_free_slots(membership, routing) -> None:
+    membership.hear("b", ServiceLoad(1, 4))
+    assert routing.choose_peer(SERVICE, NOBODY).id == "b"
+    assert routing.choose_peer(SERVICE, NOBODY) is None
+
+
+def test_excluded_and_leaving_peers_are_not_chosen(membership, routing) -> None:
+    membership.hear("a", ServiceLoad(4, 4))
+    membership.hear("b", ServiceLoad(4, 4))
+    membership.leaving_ids.add("a")
+    assert routing.choose_peer(SERVICE, frozenset({"b"})) is None
+
+
+def test_busy_home_is_chosen_by_its_slots(membership, routing) -> None:
+    membership.hear("a", ServiceLoad(0, 0))
+    membership.hear("c", ServiceLoad(0, 4))
+    assert routing.choose_busy_peer(SERVICE, NOBODY).id == "c"
+
+
+def test_refused_calls_count_as_waiting_at_their_entry(routing) -> None:
+    for member_id in ("a", "b", "b"):
+        routing.note_refused(member_id, SERVICE)
+    taken = [routing.take_waiting_peer(SERVICE) for _ in range(4)]
+    assert [member and member.id for member in taken][0] == "b"
+    assert sorted(member.id for member in taken if member) == ["a", "b", "b"]
+    assert taken[3] is None
+
+
+def test_peer_without_waiting_calls_gets_no_more_offers(routing) -> None:
+    for _ in range(3):
+        routing.note_refused("a", SERVICE)
+    routing.note_none_waiting("a", SERVICE)
+    assert routing.take_waiting_peer(SERVICE) is None
+
+
+def test_heartbeat_replaces_what_was_counted(membership, routing) -> None:
+    routing.note_refused("a", SERVICE)
+    membership.hear("a", ServiceLoad(0, 4, waiting=0))
+    assert routing.take_waiting_peer(SERVICE) is None
+
+
+def test_member_that_left_gets_no_offer(membership, routing) -> None:
+    routing.note_refused("a", SERVICE)
+    del membership.member_by_id["a"]
+    assert routing.take_waiting_peer(SERVICE) is None
