--- a/dotterelpier/services/directory.py
+++ b/dotterelpier/services/directory.py
@@ -50,7 +50,7 @@
             DirectoryEntry(
                 member.caller_address, member.zone, weight_by_id.get(member.id, 0) or 1
             )
-            for member in self._cover_two_zones(members)
+            for member in self._choose(members, weight_by_id)
         )
         return DirectoryAnswer(service, entries, self._settings.max_age_s)
 
@@ -84,13 +84,19 @@
         weight = weight_by_id.get(member.id, 0)
         return (weight == 0, member.zone != own_zone, -weight, member.id)
 
-    def _cover_two_zones(self, members: list[Member]) -> list[Member]:
-        chosen = members[: self._settings.max_entries]
+    def _choose(
+        self, ranked: list[Member], weight_by_id: dict[str, int]
+    ) -> list[Member]:
+        """Return the homes; others only to reach two zones, or where none is known."""
+        homes = [member for member in ranked if weight_by_id.get(member.id, 0)]
+        chosen = (homes or ranked)[: self._settings.max_entries]
         zones = {member.zone for member in chosen}
-        others = [member for member in members if member.zone not in zones]
-        if len(zones) == 1 and others:
-            chosen[-1:] = [others[0]] if len(chosen) > 1 else [chosen[0], others[0]]
-        return chosen
+        if len(zones) != 1:
+            return chosen
+        others = [member for member in ranked if member.zone not in zones]
+        if not others:
+            return chosen
+        return [*chosen[: self._settings.max_entries - 1], others[0]]
 
 
 def make_directory(kernel: Kernel, settings: DirectorySettings) -> Directory:
