--- a/dotterelpier/cli/main.py
+++ b/dotterelpier/cli/main.py
@@ -73,7 +73,7 @@
 
 def _run(arguments: Sequence[str], environment: Environment) -> ExitStatus:
     try:
-        invocation = _parse(arguments, environment)
+        invocation = parse(arguments, environment)
         if isinstance(invocation, ExitStatus):
             return invocation
         return invocation.run(environment)
@@ -91,9 +91,10 @@
         return ExitStatus.FAILURE
 
 
-def _parse(
+def parse(
     arguments: Sequence[str], environment: Environment
 ) -> Invocation | ExitStatus:
+    """Return what a line asks for, or the status if it asked for help or is wrong."""
     written = io.StringIO()
     line = [*arguments, *FIRE_FLAGS]
     try:
