--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -2,6 +2,8 @@
 
 from typing import ClassVar
 
+from dotterelpier.model.evidence import LoadReport
+
 
 class DotterelpierError(Exception):
     """Base class of all errors raised by this package.
@@ -147,9 +149,13 @@
 
 
 class RefusedError(CallError):
-    """The backend server said that it did not run the request."""
+    """The backend server said that it did not run the request.
+
+    ``report`` is the load report that came with the refusal, if any.
+    """
 
     code = "refused"
+    report: LoadReport | None = None
 
 
 class ConnectFailedError(CallError):
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -27,7 +27,7 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.admission import Slot
 from dotterelpier.model.call import Answer, Attempt, Call
-from dotterelpier.model.evidence import ExchangeResult, Observation
+from dotterelpier.model.evidence import ExchangeResult, LoadReport, Observation
 from dotterelpier.model.manifest import Service
 from dotterelpier.model.membership import Member
 from dotterelpier.protocols import (
@@ -228,11 +228,9 @@
         return self._answer_of(call, service, self._send(call, service, slot))
 
     def _redeem(self, call: Call) -> Slot | None:
-        return (
-            self._admission.redeem(call.reservation, call.deadline_at)
-            if call.reservation
-            else None
-        )
+        if not call.reservation:
+            return None
+        return self._admission.redeem(call.reservation, call.deadline_at)
 
     def _wait_for_slot(self, call: Call) -> Slot:
         self._evidence.refresh(call.service)
@@ -361,19 +359,19 @@
         try:
             if error is None:
                 self._add_latency(service, pending)
-                self._observe(pending, _result(pending), future.result())
+                self._observe(pending, _result(pending), future.result().report)
             elif type(error) in RESULT_BY_ERROR:
-                self._observe(pending, RESULT_BY_ERROR[type(error)], None)
+                report = error.report if isinstance(error, RefusedError) else None
+                self._observe(pending, RESULT_BY_ERROR[type(error)], report)
         finally:
             pending.exchange.ended.add_done_callback(
                 lambda ended: self._admission.release(slot)
             )
 
     def _observe(
-        self, pending: _Pending, result: ExchangeResult, answer: Answer | None
+        self, pending: _Pending, result: ExchangeResult, report: LoadReport | None
     ) -> None:
         now = self._clock.monotonic()
-        report = answer.report if answer is not None else None
         self._evidence.observe(
             Observation(pending.peer_id, result, now, report, now - pending.started_at)
         )
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -42,6 +42,7 @@
     "service": frozenset(),
     "outcome": frozenset(outcome.value for outcome in Outcome),
     "result": frozenset(result.value for result in ExchangeResult),
+    "kind": frozenset({"probe", "report"}),
 }
 
 
@@ -102,6 +103,12 @@
     "waiting_calls": MetricDeclaration(
         Gauge, "Calls waiting here for a slot.", ("service",)
     ),
+    "measuring_bytes": MetricDeclaration(
+        Counter, "Bytes of probes and of load reports.", ("service", "kind")
+    ),
+    "measuring_slot_seconds": MetricDeclaration(
+        Counter, "Duration of probes in seconds.", ("service",)
+    ),
 }
 
 
--- a/dotterelpier/services/unshared.py
+++ b/dotterelpier/services/unshared.py
@@ -189,6 +189,9 @@
     def subscribe_free(self, listener: Callable[[str], None]) -> None:
         """Do nothing: no slot is kept."""
 
+    def subscribe_cancel(self, listener: Callable[[tuple[int, ...]], None]) -> None:
+        """Do nothing; no request is cancelled."""
+
     def bearing(self, backend_id: str) -> HandoverState:
         """Return that nothing is handed over."""
         return NO_BEARING
