--- a/dotterelpier/cli/status.py
+++ b/dotterelpier/cli/status.py
@@ -168,6 +168,7 @@
         "LIMIT",
         "EVIDENCE",
         "NEW WORK",
+        "BUDGET SPENT",
     )
     rows = [
         (
@@ -179,6 +180,7 @@
             server.limit,
             format_seconds(server.evidence_age_s),
             format_flag(server.allowed),
+            f"{server.budget_spent:.0%}",
         )
         for entry in answers
         for server in entry.backend_servers
--- a/dotterelpier/model/status.py
+++ b/dotterelpier/model/status.py
@@ -25,6 +25,8 @@
         Availability zone, empty once the manifest no longer declares the server.
     cold : bool
         Whether it bears fewer requests than when warm.
+    budget_spent : float
+        Share of the measuring budget spent since its home measures it.
     """
 
     id: str
@@ -34,6 +36,7 @@
     allowed: bool
     zone: str = ""
     cold: bool = False
+    budget_spent: float = 0.0
 
 
 @frozen
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -393,6 +393,10 @@
         """Return the age of the newest evidence in seconds."""
         ...
 
+    def budget_spent(self, backend_id: str) -> float:
+        """Return the share of the measuring budget spent since measuring began."""
+        ...
+
     def refresh(self, service: str) -> None:
         """Ask for probes of the service's idle backend servers."""
         ...
--- a/dotterelpier/services/evidence.py
+++ b/dotterelpier/services/evidence.py
@@ -133,6 +133,14 @@
             return float("inf")
         return self._clock.monotonic() - measured.readiness.good_at
 
+    def budget_spent(self, backend_id: str) -> float:
+        """Return the share of the measuring budget spent since measuring began."""
+        with self._lock:
+            measured = self._measured_by_id.get(backend_id)
+            if measured is None:
+                return 0.0
+            return measured.budget.spent_share(self._clock.monotonic())
+
     def refresh(self, service: str) -> None:
         """Ask for probes of the service's idle backend servers."""
         for measured in self._all_measured():
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -96,6 +96,9 @@
     "evidence_age_max_seconds": MetricDeclaration(
         Gauge, "Age in seconds of the oldest evidence at home here, -1 if none."
     ),
+    "measuring_budget_spent_max": MetricDeclaration(
+        Gauge, "Largest share spent of a measuring budget, of those at home here."
+    ),
     "slots": MetricDeclaration(
         Gauge, "Requests that backend servers at home here bear now.", ("service",)
     ),
--- a/dotterelpier/services/probe_budget.py
+++ b/dotterelpier/services/probe_budget.py
@@ -15,10 +15,23 @@
     rate_per_s: float
     limit: float
     amount: float = 0.0
+    granted: float = 0.0
+    spent: float = 0.0
 
     def grow(self, elapsed_s: float) -> None:
         """Add what the elapsed time allows."""
-        self.amount = min(self.limit, self.amount + elapsed_s * self.rate_per_s)
+        granted = elapsed_s * self.rate_per_s
+        self.granted += granted
+        self.amount = min(self.limit, self.amount + granted)
+
+    def spend(self, amount: float) -> None:
+        """Take an amount away."""
+        self.amount -= amount
+        self.spent += amount
+
+    def spent_share(self) -> float:
+        """Return the share spent of all that was ever granted."""
+        return self.spent / self.granted if self.granted else 0.0
 
 
 @define
@@ -60,13 +73,19 @@
         if any(allowance.amount < cost for allowance, cost in costs):
             return False
         for allowance, cost in costs:
-            allowance.amount -= cost
+            allowance.spend(cost)
         return True
 
     def settle(self, size_bytes: int, duration_s: float) -> None:
         """Spend what a probe cost above its declared size and duration."""
-        self._bytes.amount -= max(0, size_bytes - self._budget.probe_bytes)
-        self._slot_s.amount -= max(0.0, duration_s - self._budget.probe_s)
+        self._bytes.spend(max(0, size_bytes - self._budget.probe_bytes))
+        self._slot_s.spend(max(0.0, duration_s - self._budget.probe_s))
+
+    def spent_share(self, now: float) -> float:
+        """Return the share spent since the start of what is spent the most."""
+        self._grow(now)
+        allowances = (self._probes, self._bytes, self._slot_s)
+        return max(allowance.spent_share() for allowance in allowances)
 
     def _grow(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._grown_at)
--- a/dotterelpier/services/status.py
+++ b/dotterelpier/services/status.py
@@ -73,6 +73,7 @@
     def publish(self) -> None:
         """Set the gauges to the status."""
         status = self.entry()
+        spent = [server.budget_spent for server in status.backend_servers]
         ages = [server.evidence_age_s for server in status.backend_servers]
         value_by_name = {
             "revision": status.revision,
@@ -90,6 +91,7 @@
                 not server.allowed for server in status.backend_servers
             ),
             "evidence_age_max_seconds": max(ages, default=0.0),
+            "measuring_budget_spent_max": max(spent, default=0.0),
         }
         for name, value in value_by_name.items():
             self._metrics.set_gauge(name, value)
@@ -142,6 +144,7 @@
             self._evidence.allows(backend_id),
             "" if server is None else server.zone,
             server is not None and bearing.limit < server.slots,
+            round(self._evidence.budget_spent(backend_id), 3),
         )
 
 
