--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -12,7 +12,7 @@
 )
 
 from dotterelpier.model.call import Outcome
-from dotterelpier.model.evidence import ExchangeResult
+from dotterelpier.model.evidence import ExchangeResult, MeasuringKind
 from dotterelpier.protocols import Metrics
 
 NAMESPACE = "dotterelpier"
@@ -42,7 +42,7 @@
     "service": frozenset(),
     "outcome": frozenset(outcome.value for outcome in Outcome),
     "result": frozenset(result.value for result in ExchangeResult),
-    "kind": frozenset({"probe", "report"}),
+    "kind": frozenset(kind.value for kind in MeasuringKind),
 }
 
 
@@ -71,6 +71,12 @@
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
+    "measuring_bytes": MetricDeclaration(
+        Counter, "Bytes of probes and of load reports.", ("service", "kind")
+    ),
+    "measuring_slot_seconds": MetricDeclaration(
+        Counter, "Duration of probes in seconds.", ("service",)
+    ),
     "audit_written": MetricDeclaration(Counter, "Audit entries written."),
     "audit_dropped": MetricDeclaration(Counter, "Audit entries dropped."),
     "revision": MetricDeclaration(Gauge, "Manifest revision in force, 0 if none."),
@@ -106,12 +112,6 @@
     "waiting_calls": MetricDeclaration(
         Gauge, "Calls waiting here for a slot.", ("service",)
     ),
-    "measuring_bytes": MetricDeclaration(
-        Counter, "Bytes of probes and of load reports.", ("service", "kind")
-    ),
-    "measuring_slot_seconds": MetricDeclaration(
-        Counter, "Duration of probes in seconds.", ("service",)
-    ),
 }
 
 
--- a/dotterelpier/services/unshared.py
+++ b/dotterelpier/services/unshared.py
@@ -157,7 +157,19 @@
             self._in_flight_by_id[chosen.id] = in_flight + 1
         return Slot(next(self._slot_ids), chosen)
 
-    def wait(self, service: str, deadline_at: float) -> "Future[Slot]":
+    def begin_probe(self, backend_id: str) -> bool:
+        """Allow every probe."""
+        return True
+
+    def end_probe(self, backend_id: str) -> None:
+        """Do nothing; probes are not counted."""
+
+    def wait(
+        self,
+        service: str,
+        deadline_at: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> "Future[Slot]":
         """Refuse: there is nothing to wait for."""
         raise OverloadedError("no backend server is allowed", step="admission.wait")
 
