Rows written by a newer version are read

Cause: unknown keys were refused in rows of the platform as they are in settings and manifests, so one entry of a newer version made every older one fail to read the members ('unknown keys operator_address') and treat the platform as out. Ruled out: control messages, where protobuf ignores unknown fields.

After: unknown keys in rows are ignored; values are checked as before, and settings and manifests still refuse unknown keys.

--- a/dotterelpier/wire/structure.py
+++ b/dotterelpier/wire/structure.py
@@ -17,8 +17,8 @@
 LIMIT_FAULT = re.compile(r"'\w+' (?=must be )")
 
 
-def _make_converter() -> Converter:
-    converter = Converter(forbid_extra_keys=True)
+def _make_converter(*, forbid_extra_keys: bool) -> Converter:
+    converter = Converter(forbid_extra_keys=forbid_extra_keys)
     for kind in (str, int, float, bool):
         converter.register_structure_hook(kind, _structure_scalar)
     return converter
@@ -34,19 +34,30 @@
     return value
 
 
-_CONVERTER = _make_converter()
+_STRICT = _make_converter(forbid_extra_keys=True)
+_TOLERANT = _make_converter(forbid_extra_keys=False)
 
 
-def structure(data: Any, kind: type[T]) -> T:
+def structure(data: Any, kind: type[T], *, extra_keys: bool = False) -> T:
     """Return plain data as an instance of a class.
 
+    Parameters
+    ----------
+    data : Any
+        Maps, lists and scalars.
+    kind : type
+        The class.
+    extra_keys : bool, default=False
+        Whether unknown keys are ignored rather than refused.
+
     Raises
     ------
     ValueError
         If the data does not fit; ``args`` holds one line per fault.
     """
+    converter = _TOLERANT if extra_keys else _STRICT
     try:
-        return _CONVERTER.structure(data, kind)
+        return converter.structure(data, kind)
     except (ClassValidationError, IterableValidationError) as error:
         faults = transform_error(error, path="", format_exception=_fault)
         named = [_key_first(fault) for fault in faults if not LIMIT_FAULT.match(fault)]
@@ -57,7 +68,7 @@
 
 def unstructure(value: Any) -> Any:
     """Return an instance as plain data."""
-    return _CONVERTER.unstructure(value)
+    return _STRICT.unstructure(value)
 
 
 def encode_json(value: Any) -> bytes:
@@ -69,12 +80,14 @@
 def decode_json(content: bytes, kind: type[T]) -> T:
     """Return JSON in UTF-8 as an instance of a class.
 
+    Unknown keys are ignored: a newer version of this program may have written them.
+
     Raises
     ------
     ValueError
         If it is no JSON or does not fit.
     """
-    return structure(json.loads(content), kind)
+    return structure(json.loads(content), kind, extra_keys=True)
 
 
 def _limit_faults(data: Any, kind: Any, path: str) -> Iterable[str]:
