--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -2,6 +2,8 @@
 
 from typing import ClassVar
 
+from dotterelpier.model.evidence import LoadReport
+
 
 class DotterelpierError(Exception):
     """Base class of all errors raised by this package.
@@ -29,6 +31,18 @@
         return f"{self.code}: {self.message} ({where})"
 
 
+class InternalError(DotterelpierError):
+    """A fault of this program; whether the request ran is not known."""
+
+    code = "internal"
+
+
+class UsageError(DotterelpierError):
+    """An argument of the command line is not valid."""
+
+    code = "usage"
+
+
 class SettingsError(DotterelpierError):
     """The settings file is malformed or a value is out of its limits."""
 
@@ -135,9 +149,13 @@
 
 
 class RefusedError(CallError):
-    """The backend server said that it did not run the request."""
+    """The backend server said that it did not run the request.
+
+    ``report`` is the load report that came with the refusal, if any.
+    """
 
     code = "refused"
+    report: LoadReport | None = None
 
 
 class ConnectFailedError(CallError):
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -1,14 +1,17 @@
 """HTTP front end for callers, and for calls that other entries relay."""
 
+import re
 import uuid
 from collections.abc import Iterable
 from urllib.parse import parse_qs, unquote
 
 from attrs import define
+from loguru import logger
 
 from dotterelpier.errors import (
     CallError,
     DotterelpierError,
+    InternalError,
     InvalidCallError,
     UnknownServiceError,
 )
@@ -36,6 +39,8 @@
     ATTEMPT_HEADER,
     KEY_HEADER,
     LOAD_HEADER,
+    ONCE,
+    ONCE_HEADER,
     OUTCOME_HEADER,
     RELAY_HEADER,
     RESERVATION_HEADER,
@@ -54,6 +59,8 @@
 ENTRIES_PATH = "/v1/entries"
 MAX_KEY_LENGTH = 255
 MAX_PATH_LENGTH = 8192
+CONTROL = re.compile(r"[\x00-\x1f\x7f]")
+STATUSES_WITHOUT_LENGTH = frozenset({204, 304})
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -84,7 +91,11 @@
             service = call.service
             answer = self._calls.serve(call)
         except DotterelpierError as error:
+            self._log_failure(call_id, service, error)
             answer = _problem(error)
+        except Exception as error:
+            logger.exception("call failed unexpectedly", call=call_id, service=service)
+            answer = _problem(InternalError(type(error).__name__, step="callers.serve"))
         self._count(service, answer, started_at)
         return self._encode(environ, call_id, service, answer, start_response)
 
@@ -100,6 +111,10 @@
             raise _invalid("path: must start with '/' and be short")
         if ".." in segments or "." in segments or "\\" in unquote(path):
             raise _invalid("path: dot segments are not allowed")
+        if "" in segments[1:-1] or CONTROL.search(unquote(path)):
+            raise _invalid(
+                "path: empty segments and control characters are not allowed"
+            )
         return target
 
     def _decode(self, environ: Environ, call_id: str) -> Call:
@@ -123,6 +138,7 @@
             self._idempotency_key(environ),
             environ.get(_variable(RELAY_HEADER), "") if self._relayed else "",
             environ.get(_variable(RESERVATION_HEADER), "") if self._relayed else "",
+            self._relayed and environ.get(_variable(ONCE_HEADER)) == ONCE,
         )
 
     def _timeout_s(self, environ: Environ, service_name: str) -> float:
@@ -179,16 +195,40 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         headers = list(answer.headers)
-        if answer.stream is None:
-            headers.append(("Content-Length", str(len(answer.body))))
+        length = _content_length(environ["REQUEST_METHOD"], answer)
+        if length is not None:
+            headers.append(("Content-Length", str(length)))
         headers.append((OUTCOME_HEADER, answer.outcome.value))
         if self._relayed:
             headers.append((ATTEMPT_HEADER, call_id))
             load = self._admission.load_by_service().get(service)
             if load is not None:
                 headers.append((LOAD_HEADER, service_load_text(load)))
-        start_response(status_line(answer.status), headers)
-        return [answer.body] if answer.stream is None else answer.stream
+        try:
+            start_response(status_line(answer.status), headers)
+        except Exception:
+            if answer.stream is not None:
+                answer.stream.close()
+            raise
+        if answer.stream is not None:
+            return answer.stream
+        # The server would send a body after the head of an answer to HEAD.
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [answer.body]
+
+    def _log_failure(
+        self, call_id: str, service: str, error: DotterelpierError
+    ) -> None:
+        revision = self._manifest.current()
+        logger.warning(
+            "call failed",
+            call=call_id,
+            service=service,
+            revision=0 if revision is None else revision.number,
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            error=error.message,
+        )
 
     def _count(self, service: str, answer: Answer, started_at: float) -> None:
         if not service:
@@ -217,6 +257,14 @@
     return InvalidCallError(message, step="callers.decode")
 
 
+def _content_length(method: str, answer: Answer) -> int | None:
+    if answer.status in STATUSES_WITHOUT_LENGTH:
+        return None
+    if answer.stream is not None or (method == "HEAD" and not answer.body):
+        return answer.length
+    return len(answer.body)
+
+
 def _problem(error: DotterelpierError) -> Answer:
     outcome = problem_outcome(error)
     if not isinstance(error, CallError):
--- a/dotterelpier/model/manifest.py
+++ b/dotterelpier/model/manifest.py
@@ -1,11 +1,15 @@
 """The manifest: what the operators declare."""
 
 import fnmatch
+import re
 from enum import Enum
+from urllib.parse import unquote
 
 from attrs import field, frozen
 from attrs.validators import ge, gt, le
 
+REPEATED_SLASHES = re.compile("/+")
+
 
 class ZoneState(str, Enum):
     """Whether an availability zone takes new work."""
@@ -25,7 +29,7 @@
     region : str
         Region that the zone is part of.
     state : ZoneState
-        ``OUT`` while operators hold the zone out of service.
+        ``out`` while operators hold the zone out of service, else ``in``.
     """
 
     name: str
@@ -33,6 +37,11 @@
     state: ZoneState = ZoneState.IN
 
 
+def _plain_path(path: str) -> str:
+    """Return a path without query, escapes and repeated slashes."""
+    return REPEATED_SLASHES.sub("/", unquote(path.partition("?")[0]))
+
+
 @frozen
 class NonIdempotentRule:
     """Marks requests that must run at most once.
@@ -42,15 +51,20 @@
     method : str
         HTTP method.
     path : str
-        Shell pattern matched against the path below the service.
+        Shell pattern matched against the decoded path below the service, without
+        its query.
     """
 
     method: str
     path: str = "/*"
 
     def matches(self, method: str, path: str) -> bool:
-        """Tell whether a request falls under this rule."""
-        return self.method == method and fnmatch.fnmatchcase(path, self.path)
+        """Tell whether a request falls under this rule, however its path is written."""
+        if self.method != method:
+            return False
+        plain = _plain_path(path)
+        written = (plain, plain.rstrip("/"), plain.rstrip("/") + "/")
+        return any(fnmatch.fnmatchcase(item, self.path) for item in written)
 
 
 @frozen
--- a/dotterelpier/model/membership.py
+++ b/dotterelpier/model/membership.py
@@ -32,6 +32,8 @@
         Whether the entry is in a planned stop and wants no homes.
     known : int
         Members known to the entry; it counts a majority of no fewer.
+    operator_address : str
+        ``IP:port`` where it answers operators.
     """
 
     id: str
@@ -45,6 +47,7 @@
     assignment: int = 0
     leaving: bool = False
     known: int = 0
+    operator_address: str = ""
 
 
 @frozen
--- a/dotterelpier/model/status.py
+++ b/dotterelpier/model/status.py
@@ -21,6 +21,12 @@
         Age of the newest evidence, in seconds; -1 if there is none.
     allowed : bool
         Whether evidence speaks for new work.
+    zone : str
+        Availability zone, empty once the manifest no longer declares the server.
+    cold : bool
+        Whether it bears fewer requests than when warm.
+    budget_spent : float
+        Share of the measuring budget spent since its home measures it.
     """
 
     id: str
@@ -28,6 +34,9 @@
     in_flight: int
     evidence_age_s: float
     allowed: bool
+    zone: str = ""
+    cold: bool = False
+    budget_spent: float = 0.0
 
 
 @frozen
@@ -44,6 +53,8 @@
         Age of its last heartbeat, in seconds; -1 if there is none.
     leaving : bool
         Whether it is in a planned stop.
+    operator_address : str
+        ``IP:port`` where it answers operators.
     """
 
     id: str
@@ -51,6 +62,7 @@
     revision: int
     heard_age_s: float
     leaving: bool
+    operator_address: str = ""
 
 
 @frozen
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -13,7 +13,7 @@
 from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.call import Answer, Attempt, Call
 from dotterelpier.model.directory import DirectoryAnswer
-from dotterelpier.model.evidence import LoadReport, Observation
+from dotterelpier.model.evidence import Observation, ProbeAnswer
 from dotterelpier.model.manifest import BackendServer, Revision
 from dotterelpier.model.membership import (
     Assignment,
@@ -26,6 +26,7 @@
     SlotOffer,
 )
 from dotterelpier.model.platform import Row, Vm, Write
+from dotterelpier.model.status import EntryStatus
 
 
 class ServiceName(str, Enum):
@@ -46,12 +47,15 @@
     EVIDENCE = "evidence"
     ADMISSION = "admission"
     ROUTING = "routing"
+    PULLING = "pulling"
     BACKENDS = "backends"
     RELAYS = "relays"
     CLAIMS = "claims"
+    CLAIM_SWEEPER = "claim_sweeper"
     CALLS = "calls"
     DIRECTORY = "directory"
     DRAIN = "drain"
+    STATUS = "status"
     CALLER_FRONTEND = "caller_frontend"
     RELAY_FRONTEND = "relay_frontend"
     PEER_FRONTEND = "peer_frontend"
@@ -64,6 +68,7 @@
     TIMER = "timer"
     CONTROL = "control"
     PEER = "peer"
+    OFFER = "offer"
     HANDOVER = "handover"
     MEASURE = "measure"
     BACKEND_CONNECTION = "backend_connection"
@@ -204,6 +209,13 @@
         """Add a value to a histogram."""
         ...
 
+    def keep_label_values(self, label: str, values: frozenset[str]) -> None:
+        """Allow only these values of a label and drop the series of others.
+
+        What is counted under any other value is counted under ``"other"``.
+        """
+        ...
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         ...
@@ -354,6 +366,18 @@
         ...
 
 
+class ProbeGate(Protocol):
+    """Decides whether a backend server bears a probe now."""
+
+    def begin_probe(self, backend_id: str) -> bool:
+        """Tell whether a probe may be sent; it must be ended if so."""
+        ...
+
+    def end_probe(self, backend_id: str) -> None:
+        """State that the probe ended."""
+        ...
+
+
 class Evidence(Protocol):
     """What is known of the backend servers whose home this entry is."""
 
@@ -369,6 +393,10 @@
         """Return the age of the newest evidence in seconds."""
         ...
 
+    def budget_spent(self, backend_id: str) -> float:
+        """Return the share of the measuring budget spent since measuring began."""
+        ...
+
     def refresh(self, service: str) -> None:
         """Ask for probes of the service's idle backend servers."""
         ...
@@ -377,8 +405,12 @@
         """Call a listener with each observation."""
         ...
 
+    def ask_before_probes(self, gate: ProbeGate) -> None:
+        """Let a gate decide about each probe."""
+        ...
+
 
-class Admission(Protocol):
+class Admission(ProbeGate, Protocol):
     """Slots of the backend servers whose home this entry is."""
 
     def try_acquire(
@@ -387,18 +419,23 @@
         """Take a slot if one is free, on a server that is not excluded."""
         ...
 
-    def wait(self, service: str, deadline_at: float) -> "Future[Slot]":
+    def wait(
+        self,
+        service: str,
+        deadline_at: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> "Future[Slot]":
         """Queue for a slot; cancel the future to leave the queue.
 
         Raises
         ------
         OverloadedError
-            If the queue of the service is full.
+            If the queue of the service is full, or too long for the deadline.
         """
         ...
 
     def release(self, slot: Slot) -> None:
-        """Give a slot back."""
+        """Give a slot back, once the request surely no longer runs."""
         ...
 
     def load_by_service(self) -> dict[str, ServiceLoad]:
@@ -409,8 +446,33 @@
         """Give a slot offered by a peer to a waiting call, if there is one."""
         ...
 
-    def redeem(self, reservation: str) -> Slot | None:
-        """Return the slot reserved under a token, once."""
+    def reserve(self, service: str) -> tuple[Slot, str] | None:
+        """Hold a free slot that no call here waits for, under a new token.
+
+        The slot is free again unless it is redeemed within a second. Returns None
+        if no slot is free or calls wait here.
+        """
+        ...
+
+    def redeem(
+        self, reservation: str, deadline_at: float = float("inf")
+    ) -> Slot | None:
+        """Return the slot reserved under a token, once, for a call with a deadline."""
+        ...
+
+    def subscribe_free(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with a service that has a slot free and nobody waiting.
+
+        The listener runs on the thread that freed the slot and must not block.
+        """
+        ...
+
+    def subscribe_cancel(self, listener: Callable[[tuple[int, ...]], None]) -> None:
+        """Call a listener with the ids of slots that a cold server cannot bear.
+
+        Idempotent requests in these slots are to be cancelled and sent elsewhere.
+        The listener must not block.
+        """
         ...
 
     def bearing(self, backend_id: str) -> HandoverState:
@@ -426,8 +488,13 @@
         """Future of the answer; fails with a ``CallError``."""
         ...
 
+    @property
+    def ended(self) -> "Future[Any]":
+        """Future that is done once the other side no longer works on the attempt."""
+        ...
+
     def cancel(self) -> None:
-        """Ask the backend server to stop; the future ends all the same."""
+        """Ask the other side to stop; the futures end all the same."""
         ...
 
 
@@ -444,7 +511,7 @@
         """
         ...
 
-    def probe(self, server: BackendServer, timeout_s: float) -> LoadReport:
+    def probe(self, server: BackendServer, timeout_s: float) -> ProbeAnswer:
         """Probe a backend server.
 
         Raises
@@ -462,8 +529,14 @@
 class Relays(Protocol):
     """Connections to other entries that take relayed calls."""
 
-    def relay(self, member: Member, call: Call) -> "Future[Answer]":
-        """Relay a call; the future fails with a ``CallError``."""
+    def relay(self, member: Member, attempt: Attempt) -> Exchange:
+        """Relay a call; the answer fails with a ``CallError``.
+
+        Raises
+        ------
+        TaskPoolFullError
+            If no more connections may be opened; nothing was sent.
+        """
         ...
 
 
@@ -474,10 +547,44 @@
         """Return a member likely to have a slot free, or None."""
         ...
 
+    def choose_busy_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
+        """Return a home of the service that is not known to have a slot free.
+
+        Its refusal of a call tells it that the call waits here.
+        """
+        ...
+
     def learn(self, member_id: str, service: str, load: ServiceLoad) -> None:
         """Take in the load that a peer reported with a relayed answer."""
         ...
 
+    def note_refused(self, member_id: str, service: str) -> None:
+        """Take in that a peer's call found no slot here and waits there."""
+        ...
+
+    def note_none_waiting(self, member_id: str, service: str) -> None:
+        """Take in that a peer did not need a slot offered to it."""
+        ...
+
+    def take_waiting_peer(self, service: str) -> Member | None:
+        """Return the member known to hold most waiting calls, or None.
+
+        One call less counts as waiting there afterwards.
+        """
+        ...
+
+    def load_of(self, member_id: str, service: str) -> ServiceLoad | None:
+        """Return the last load known of a peer, or None."""
+        ...
+
+
+class Pulling(Protocol):
+    """Lets peers pull their waiting calls to slots that come free here."""
+
+    def offer(self, service: str) -> None:
+        """Offer a free slot of a service to a peer whose calls wait, if any."""
+        ...
+
 
 class Claims(Protocol):
     """Idempotency keys, claimed before anything is sent."""
@@ -575,6 +682,22 @@
         ...
 
 
+class Status(Protocol):
+    """Status of this entry, for operators."""
+
+    def healthy(self) -> bool:
+        """Tell whether the entry takes new work and is not stopping."""
+        ...
+
+    def entry(self) -> EntryStatus:
+        """Return the status of this entry."""
+        ...
+
+    def publish(self) -> None:
+        """Set the gauges among the metrics to the status."""
+        ...
+
+
 @runtime_checkable
 class Policy(Protocol):
     """Chooses among candidates with known free slots."""
@@ -582,3 +705,14 @@
     def choose(self, free_by_id: dict[str, int]) -> str | None:
         """Return the id of the chosen candidate, or None if there is none."""
         ...
+
+
+@runtime_checkable
+class ServerPolicy(Protocol):
+    """Chooses a backend server where entries share nothing."""
+
+    def choose(
+        self, servers: list[BackendServer], load_by_id: dict[str, int]
+    ) -> BackendServer:
+        """Return one of the servers, given the requests counted at each."""
+        ...
--- a/dotterelpier/wire/backend.py
+++ b/dotterelpier/wire/backend.py
@@ -1,6 +1,8 @@
 """Headers exchanged with backend servers and with relaying entries."""
 
-from collections.abc import Iterable, Mapping
+import math
+import re
+from collections.abc import Iterable
 
 from dotterelpier.model.call import Attempt, Headers
 from dotterelpier.model.evidence import LoadReport, Readiness
@@ -10,11 +12,13 @@
 DEADLINE_HEADER = "Dotterelpier-Deadline"
 LOAD_HEADER = "Dotterelpier-Load"
 OUTCOME_HEADER = "Dotterelpier-Outcome"
+ONCE_HEADER = "Dotterelpier-Once"
 RELAY_HEADER = "Dotterelpier-Relayed-By"
 RESERVATION_HEADER = "Dotterelpier-Reservation"
 TIMEOUT_HEADER = "Dotterelpier-Timeout"
 KEY_HEADER = "Idempotency-Key"
 NOT_RUN = "not-run"
+ONCE = "1"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1), and those
 # that this system sets itself.
@@ -27,6 +31,7 @@
         "proxy-connection",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
         "content-length",
@@ -38,6 +43,11 @@
 )
 OWN_PREFIX = "dotterelpier-"
 
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+# A folded header line, or one that would begin another (RFC 9112, section 5.2).
+LINE_BREAK = re.compile(r"[\r\n\0][\r\n\0 \t]*")
+
 
 def forwardable(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the end-to-end headers, without those that this system sets."""
@@ -49,9 +59,10 @@
         for token in value.split(",")
     }
     return tuple(
-        (name, value)
+        (name, LINE_BREAK.sub(" ", value))
         for name, value in headers
-        if name.lower() not in NOT_FORWARDED
+        if HEADER_NAME.fullmatch(name)
+        and name.lower() not in NOT_FORWARDED
         and name.lower() not in named
         and not name.lower().startswith(OWN_PREFIX)
     )
@@ -65,9 +76,8 @@
     }
 
 
-def read_load_report(headers: Mapping[str, str]) -> LoadReport | None:
-    """Return the load report of an answer, None if it has none that is valid."""
-    text = headers.get(LOAD_HEADER)
+def read_load_report(text: str | None) -> LoadReport | None:
+    """Return the load report from a header, None if it is missing or not valid."""
     if text is None:
         return None
     value_by_key = _parse_pairs(text)
@@ -75,20 +85,31 @@
         return LoadReport(
             Readiness(value_by_key.get("state", "ready")),
             value_by_key.get("boot", ""),
-            int(value_by_key.get("in_flight", "0")),
+            max(0, int(value_by_key.get("in_flight", "0"))),
+            _read_uptime(value_by_key.get("uptime")),
+            len(LOAD_HEADER) + len(text) + len(": \r\n"),
         )
     except ValueError:
         return None
 
 
+def _read_uptime(text: str | None) -> float | None:
+    if text is None:
+        return None
+    uptime_s = float(text)
+    if not 0 <= uptime_s < math.inf:
+        raise ValueError(f"uptime {text!r}")
+    return uptime_s
+
+
 def service_load_text(load: ServiceLoad) -> str:
     """Return the load of a service as the value of a header."""
     return f"free={load.free_slots};slots={load.slots};waiting={load.waiting}"
 
 
-def read_service_load(text: str) -> ServiceLoad | None:
+def read_service_load(text: str | None) -> ServiceLoad | None:
     """Return the load of a service from a header, None if it is not valid."""
-    value_by_key = _parse_pairs(text)
+    value_by_key = _parse_pairs(text or "")
     try:
         return ServiceLoad(
             int(value_by_key["free"]),
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -123,8 +123,12 @@
     settings = str(system.entries["entry-1"].settings)
     shown = command("manifest", "show", "--settings", settings)
     assert "# revision 1" in shown.stdout
-    trail = command("audit", "--settings", settings)
-    assert json.loads(trail.stdout.splitlines()[0])["event"] == "manifest.apply"
+    trail = command("audit", "--json", "--settings", settings)
+    entries = [json.loads(line) for line in trail.stdout.splitlines()]
+    applied = [entry for entry in entries if entry["event"] == "manifest.apply"]
+    assert [(entry["revision"], entry["outcome"]) for entry in applied] == [
+        (1, "accepted")
+    ]
 
 
 def test_bad_manifest_is_refused(tmp_path: Path) -> None:
