Refused manifests of the command line are audited; tests of applying

The command line checked the manifest before the apply, so a refused attempt left no trace. The apply checks it and audits the refusal.

--- a/dotterelpier/cli/manifest.py
+++ b/dotterelpier/cli/manifest.py
@@ -37,8 +37,7 @@
     """Apply a manifest and wait for acknowledgements."""
     platform = open_platform(settings, environment)
     text = _read_text(file, environment)
-    read_manifest(text, file)
-    applicant = Applicant(environment.user, environment.host, apply_id)
+    applicant = Applicant(environment.user, environment.host, apply_id, file)
     written = apply_manifest(platform, platform, environment.clock, text, applicant)
     applied = wait_for_acknowledgements(
         platform,
--- a/dotterelpier/manifest_apply.py
+++ b/dotterelpier/manifest_apply.py
@@ -50,11 +50,14 @@
         Host.
     apply_id : str
         Unique id of this apply.
+    source : str
+        File from which the manifest came, for errors.
     """
 
     who: str
     origin: str
     apply_id: str
+    source: str = MANIFEST_KEY
 
 
 @frozen
@@ -107,7 +110,7 @@
         clock.unix(), STEP, applicant.who, applicant.origin, "accepted", step=STEP
     )
     try:
-        after = read_manifest(text, MANIFEST_KEY)
+        after = read_manifest(text, applicant.source)
     except ManifestError as error:
         refused = evolve(event, digest=digest(text), changes=error.faults)
         _record(table, evolve(refused, outcome="refused"))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -157,6 +157,7 @@
     objects_down: bool = False
     lose_replies: int = 0
     before_commit: Callable[[], None] | None = None
+    after_lost_reply: Callable[[], Any] = lambda: None
     reached_at: float = float("-inf")
 
     def read(self, key: str) -> Row | None:
@@ -180,6 +181,7 @@
         versions = self.table.commit(writes)
         if self.lose_replies > 0:
             self.lose_replies -= 1
+            self.after_lost_reply()
             raise PlatformUnavailableError("reply lost", step="platform")
         return versions
 
