--- a/dotterelpier/cli/main.py
+++ b/dotterelpier/cli/main.py
@@ -31,7 +31,12 @@
 UNKNOWN_ARGUMENT = "Could not consume arg: "
 
 # Fire lists its own marks on the commands as if they were a group.
-FIRE_MARKS = "\n\nGROUPS\n    GROUP is one of the following:\n\n     FIRE_METADATA"
+SHOWN_BY_FIRE_MARK: Mapping[str, str] = {
+    "\n\nGROUPS\n    GROUP is one of the following:\n\n     FIRE_METADATA": "",
+    "GROUP | FILE": "FILE",
+    "GROUP | <flags>": "<flags>",
+    " GROUP | (none)": "",
+}
 
 STATUS_BY_ERROR: Mapping[type[DotterelpierError], ExitStatus] = {
     UsageError: ExitStatus.USAGE,
@@ -73,7 +78,7 @@
 
 def _run(arguments: Sequence[str], environment: Environment) -> ExitStatus:
     try:
-        invocation = _parse(arguments, environment)
+        invocation = parse(arguments, environment)
         if isinstance(invocation, ExitStatus):
             return invocation
         return invocation.run(environment)
@@ -91,9 +96,10 @@
         return ExitStatus.FAILURE
 
 
-def _parse(
+def parse(
     arguments: Sequence[str], environment: Environment
 ) -> Invocation | ExitStatus:
+    """Return what a line asks for, or the status if it asked for help or is wrong."""
     written = io.StringIO()
     line = [*arguments, *FIRE_FLAGS]
     try:
@@ -124,8 +130,8 @@
 def _help_text(text: str) -> str:
     _, _, described = text.partition("NAME\n")
     described, _, _ = described.partition("\nNOTES\n")
-    described = described.replace(FIRE_MARKS, "").replace("GROUP | FILE", "FILE")
-    described = described.replace(" GROUP | (none)", "")
+    for mark, shown in SHOWN_BY_FIRE_MARK.items():
+        described = described.replace(mark, shown)
     statuses = "\n".join(
         f"    {status.value:<4} {meaning}"
         for status, meaning in MEANING_BY_STATUS.items()
