--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,20 +5,42 @@
 
 import pytest
 
+from dotterelpier.clients.relays import make_relays
 from dotterelpier.errors import (
     AnswerLostError,
     ConnectFailedError,
     InvalidCallError,
     RefusedError,
 )
+from dotterelpier.kernel import make_kernel
 from dotterelpier.model.call import Attempt, Call
 from dotterelpier.model.manifest import BackendServer
+from dotterelpier.model.membership import Member
+from dotterelpier.protocols import ServiceName
+from dotterelpier.services.clock import make_clock
+from dotterelpier.services.tasks import make_tasks
+from dotterelpier.services.timer import make_timer
+from dotterelpier.settings import LimitSettings
 from tests.scripted_server import ScriptedServer, head, whole
 from tests.test_promise_4 import ANSWER_WAIT_S, backends, body_for, right
 
 __all__ = ["backends"]
 
 
+@pytest.fixture(scope="module")
+def relays():
+    kernel = make_kernel()
+    kernel.register(ServiceName.CLOCK, make_clock())
+    kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
+    kernel.register(ServiceName.TIMER, make_timer(kernel))
+    kernel.register(ServiceName.ROUTING, None)
+    made = make_relays(kernel, LimitSettings(), "entry-1")
+    kernel.register(ServiceName.RELAYS, made)
+    kernel.start()
+    yield made
+    kernel.stop()
+
+
 def attempt(path: str = "/x", timeout_s: float = 5.0, **options) -> Attempt:
     call = Call("call", "catalogue", "GET", path)
     return Attempt("attempt", call, time.monotonic() + timeout_s, **options)
@@ -133,3 +155,29 @@
     exchange.ended.result(ANSWER_WAIT_S)
     assert server.cancelled == ["attempt"]
     server.close()
+
+
+@pytest.mark.parametrize("once", [True, False])
+def test_relay_says_whether_a_call_must_run_once(relays, once) -> None:
+    lines = ("Dotterelpier-Outcome: answered", "Content-Length: 0")
+    server = ScriptedServer(lambda request: [head(request, *lines)])
+    call = Call("call", "catalogue", "POST", "/x", idempotency_key="key", once=once)
+    sent = Attempt("attempt", call, time.monotonic() + 5.0)
+    member = Member("entry-2", "tt-north-1", "", server.address, "")
+    assert relays.relay(member, sent).answer.result(ANSWER_WAIT_S).status == 200
+    received = server.received[0].headers
+    assert received.get("dotterelpier-once") == ("1" if once else None)
+    assert received["dotterelpier-relayed-by"] == "entry-1"
+    server.close()
+
+
+@pytest.mark.parametrize(
+    ("outcome", "error"), [("not-run", RefusedError), ("unknown", AnswerLostError)]
+)
+def test_relay_passes_the_outcome_on(relays, outcome, error) -> None:
+    lines = (f"Dotterelpier-Outcome: {outcome}", "Content-Length: 0")
+    server = ScriptedServer(lambda request: [head(request, *lines)])
+    member = Member("entry-2", "tt-north-1", "", server.address, "")
+    with pytest.raises(error):
+        relays.relay(member, attempt()).answer.result(ANSWER_WAIT_S)
+    server.close()
--- a/tests/test_promise_4.py
+++ b/tests/test_promise_4.py
@@ -221,8 +221,14 @@
     yield b""
 
 
+def silence_within_body(request):
+    yield whole(request, body_for(request))[:-3]
+    time.sleep(20)
+    yield b""
+
+
 @pytest.mark.promise(4)
-@pytest.mark.parametrize("shape", [dribble, silence])
+@pytest.mark.parametrize("shape", [dribble, silence, silence_within_body])
 def test_deadline_bounds_the_whole_exchange(backends, shape) -> None:
     server = ScriptedServer(shape)
     with pytest.raises(AnswerTimeoutError):
