--- a/dotterelpier/services/call_queue.py
+++ b/dotterelpier/services/call_queue.py
@@ -8,6 +8,7 @@
 from dotterelpier.model.admission import Slot
 
 INTERVAL_WEIGHT = 0.1
+MIN_SERVED = 16
 
 
 @define(eq=False)
@@ -24,7 +25,8 @@
     """Waiting calls, and how fast they lately got their slots."""
 
     _waiters: deque[Waiter] = field(factory=deque)
-    _interval_s: float | None = None
+    _served: int = 0
+    _interval_s: float = 0.0
     _moved_at: float = float("-inf")
 
     def __len__(self) -> int:
@@ -48,12 +50,16 @@
     def serve(self, waiter: Waiter, now: float) -> None:
         """Take a call out that got a slot."""
         self._waiters.remove(waiter)
-        interval_s = now - self._moved_at
+        self._served += 1
+        weight = max(1 / self._served, INTERVAL_WEIGHT)
+        self._interval_s += weight * (now - self._moved_at - self._interval_s)
         self._moved_at = now
-        if self._interval_s is None:
-            self._interval_s = interval_s
-        self._interval_s += INTERVAL_WEIGHT * (interval_s - self._interval_s)
 
     def expected_wait_s(self) -> float:
-        """Return how long the calls ahead of a new one are likely to take."""
-        return len(self._waiters) * (self._interval_s or 0.0)
+        """Return how long the calls ahead of a new one are likely to take.
+
+        Zero until enough calls were served to tell.
+        """
+        if self._served < MIN_SERVED:
+            return 0.0
+        return len(self._waiters) * self._interval_s
--- /dev/null
+++ b/tests/test_promise_7.py
@@ -0,0 +1,171 @@
+"""P7: a leaving backend server gets no new work after a few seconds."""
+
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from dotterelpier.model.evidence import ExchangeResult, LoadReport, Readiness
+from dotterelpier.model.membership import HomeGrant
+from dotterelpier.model.platform import Vm, VmState
+from tests.homes_fakes import (
+    COLD_SLOTS,
+    SERVER,
+    SLOTS,
+    ModelServer,
+    StepEntry,
+    make_step_entry,
+    make_warm_entry,
+)
+
+FEW_SECONDS_S = 5.0
+HOST = SERVER.address.partition(":")[0]
+READY = LoadReport(Readiness.READY, "boot-1")
+
+
+class Leaving(RuleBasedStateMachine):
+    """A busy server leaves, told by one or several channels, and comes back.
+
+    The oracle keeps since when the server has been leaving; a VM list that lags
+    starts the count only once it tells.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entry: StepEntry = make_step_entry()
+        self.server: ModelServer = self.entry.servers[SERVER.id]
+        self.entry.homes.give(HomeGrant(limit=SLOTS))
+        self.left_at: float | None = None
+        self.drains = False
+        self.listed = False
+        self.entry.run(2)
+
+    def _leave(self) -> None:
+        if self.left_at is None:
+            self.left_at = self.entry.clock.now
+
+    @rule()
+    def drain_by_answers_and_health(self) -> None:
+        self._leave()
+        self.drains = self.server.leaving = True
+
+    @rule()
+    def drain_by_health(self) -> None:
+        self._leave()
+        self.server.leaving = True
+
+    @rule()
+    def refuse_connections(self) -> None:
+        self._leave()
+        self.server.refusing = True
+
+    @rule()
+    def appear_leaving_in_list(self) -> None:
+        self._leave()
+        self.listed = True
+        self.entry.platform.vms = (Vm(HOST, VmState.LEAVING),)
+
+    @rule()
+    def come_back(self) -> None:
+        if self.left_at is None:
+            return
+        self.left_at = None
+        self.drains = self.server.leaving = self.server.refusing = False
+        self.entry.platform.vms = (Vm(HOST, VmState.LIVE),)
+        self.server.restart()
+
+    @rule(down=st.booleans())
+    def platform_outage(self, down: bool) -> None:
+        # What the platform did not tell cannot be known.
+        if not self.listed:
+            self.entry.platform.down = down
+
+    @rule(seconds=st.sampled_from([0.25, 1.0, 4.0]))
+    def serve(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.25)):
+            self.entry.step()
+            for _ in range(SLOTS):
+                self._call()
+        if self.entry.platform.down:
+            self.entry.platform.down = False
+
+    def _call(self) -> None:
+        slot = self.entry.acquire()
+        if slot is None:
+            return
+        now = self.entry.clock.now
+        late = self.left_at is not None and now - self.left_at > FEW_SECONDS_S
+        assert not late, f"new work {now - self.left_at:.2f} s after leaving"
+        if self.drains:
+            self.entry.finish(slot, ExchangeResult.SHED, self.server.report())
+        else:
+            self.entry.finish(slot, ExchangeResult.ANSWERED, READY)
+
+
+LeavingTest = Leaving.TestCase
+LeavingTest.settings = settings(max_examples=30, stateful_step_count=20)
+LeavingTest = pytest.mark.promise(7)(LeavingTest)
+
+
+def _sent(entry: StepEntry, seconds: float, answer: Any) -> list[float]:
+    """Call for a while; return when calls were sent, from now on."""
+    began_at, sent_at = entry.clock.now, []
+    for _ in range(round(seconds / 0.25)):
+        entry.step()
+        slot = entry.acquire()
+        if slot is not None:
+            sent_at.append(entry.clock.now - began_at)
+            answer(entry, slot)
+    return sent_at
+
+
+def _answered(entry: StepEntry, slot: Any) -> None:
+    entry.finish(slot, ExchangeResult.ANSWERED, READY)
+
+
+def _drained(entry: StepEntry, slot: Any) -> None:
+    report = LoadReport(Readiness.LEAVING, "boot-1")
+    entry.finish(slot, ExchangeResult.SHED, report)
+
+
+@pytest.mark.promise(7)
+def test_refused_connections_stop_a_busy_server(record_property: Any) -> None:
+    """Connections opened before go on to answer, so only a probe can tell."""
+    entry = make_warm_entry()
+    entry.servers[SERVER.id].refusing = True
+    sent_at = _sent(entry, 30, _answered)
+    assert max(sent_at) <= FEW_SECONDS_S
+    record_property("figure", f"refused only: last new work after {max(sent_at):.2f} s")
+
+
+@pytest.mark.promise(7)
+def test_list_of_vms_alone_stops_new_work(record_property: Any) -> None:
+    entry = make_warm_entry()
+    entry.platform.vms = (Vm(HOST, VmState.LEAVING),)
+    sent_at = _sent(entry, 30, _answered)
+    assert max(sent_at, default=0.0) <= FEW_SECONDS_S
+    record_property("figure", f"listed: {max(sent_at, default=0.0):.2f} s")
+
+
+@pytest.mark.promise(7)
+def test_lying_health_buys_few_attempts() -> None:
+    """Answers say leaving while health goes on to say ready."""
+    entry = make_warm_entry()
+    sent_at = _sent(entry, 600, _drained)
+    assert len(sent_at) <= 1 + 6
+
+
+@pytest.mark.promise(7)
+def test_server_back_after_leaving_starts_cold() -> None:
+    entry = make_warm_entry()
+    server = entry.servers[SERVER.id]
+    server.leaving = True
+    entry.run(3)
+    assert entry.acquire() is None
+    server.leaving = False
+    server.boot += 1
+    entry.run(3)
+    slots = [entry.acquire() for _ in range(SLOTS)]
+    assert sum(slot is not None for slot in slots) == COLD_SLOTS
