--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -59,8 +59,8 @@
 ENTRIES_PATH = "/v1/entries"
 MAX_KEY_LENGTH = 255
 MAX_PATH_LENGTH = 8192
-STATUSES_WITHOUT_LENGTH = frozenset({204, 304})
 CONTROL = re.compile(r"[\x00-\x1f\x7f]")
+STATUSES_WITHOUT_LENGTH = frozenset({204, 304})
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 
@@ -91,7 +91,7 @@
             service = call.service
             answer = self._calls.serve(call)
         except DotterelpierError as error:
-            _log_failure(call_id, service, error)
+            self._log_failure(call_id, service, error)
             answer = _problem(error)
         except Exception as error:
             logger.exception("call failed unexpectedly", call=call_id, service=service)
@@ -215,6 +215,21 @@
         # The server would send a body after the head of an answer to HEAD.
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [answer.body]
 
+    def _log_failure(
+        self, call_id: str, service: str, error: DotterelpierError
+    ) -> None:
+        revision = self._manifest.current()
+        logger.warning(
+            "call failed",
+            call=call_id,
+            service=service,
+            revision=0 if revision is None else revision.number,
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            error=error.message,
+        )
+
     def _count(self, service: str, answer: Answer, started_at: float) -> None:
         if not service:
             return
@@ -250,18 +265,6 @@
     return len(answer.body)
 
 
-def _log_failure(call_id: str, service: str, error: DotterelpierError) -> None:
-    logger.warning(
-        "call failed",
-        call=call_id,
-        service=service,
-        code=error.code,
-        step=error.step,
-        peer=error.peer,
-        error=error.message,
-    )
-
-
 def _problem(error: DotterelpierError) -> Answer:
     outcome = problem_outcome(error)
     if not isinstance(error, CallError):
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -26,6 +26,7 @@
     SlotOffer,
 )
 from dotterelpier.model.platform import Row, Vm, Write
+from dotterelpier.model.status import EntryStatus
 
 
 class ServiceName(str, Enum):
@@ -46,6 +47,7 @@
     EVIDENCE = "evidence"
     ADMISSION = "admission"
     ROUTING = "routing"
+    PULLING = "pulling"
     BACKENDS = "backends"
     RELAYS = "relays"
     CLAIMS = "claims"
@@ -53,6 +55,7 @@
     CALLS = "calls"
     DIRECTORY = "directory"
     DRAIN = "drain"
+    STATUS = "status"
     CALLER_FRONTEND = "caller_frontend"
     RELAY_FRONTEND = "relay_frontend"
     PEER_FRONTEND = "peer_frontend"
@@ -65,6 +68,7 @@
     TIMER = "timer"
     CONTROL = "control"
     PEER = "peer"
+    OFFER = "offer"
     HANDOVER = "handover"
     MEASURE = "measure"
     BACKEND_CONNECTION = "backend_connection"
@@ -205,6 +209,13 @@
         """Add a value to a histogram."""
         ...
 
+    def keep_label_values(self, label: str, values: frozenset[str]) -> None:
+        """Allow only these values of a label and drop the series of others.
+
+        What is counted under any other value is counted under ``"other"``.
+        """
+        ...
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         ...
@@ -382,6 +393,10 @@
         """Return the age of the newest evidence in seconds."""
         ...
 
+    def budget_spent(self, backend_id: str) -> float:
+        """Return the share of the measuring budget spent since measuring began."""
+        ...
+
     def refresh(self, service: str) -> None:
         """Ask for probes of the service's idle backend servers."""
         ...
@@ -532,10 +547,44 @@
         """Return a member likely to have a slot free, or None."""
         ...
 
+    def choose_busy_peer(self, service: str, excluded: frozenset[str]) -> Member | None:
+        """Return a home of the service that is not known to have a slot free.
+
+        Its refusal of a call tells it that the call waits here.
+        """
+        ...
+
     def learn(self, member_id: str, service: str, load: ServiceLoad) -> None:
         """Take in the load that a peer reported with a relayed answer."""
         ...
 
+    def note_refused(self, member_id: str, service: str) -> None:
+        """Take in that a peer's call found no slot here and waits there."""
+        ...
+
+    def note_none_waiting(self, member_id: str, service: str) -> None:
+        """Take in that a peer did not need a slot offered to it."""
+        ...
+
+    def take_waiting_peer(self, service: str) -> Member | None:
+        """Return the member known to hold most waiting calls, or None.
+
+        One call less counts as waiting there afterwards.
+        """
+        ...
+
+    def load_of(self, member_id: str, service: str) -> ServiceLoad | None:
+        """Return the last load known of a peer, or None."""
+        ...
+
+
+class Pulling(Protocol):
+    """Lets peers pull their waiting calls to slots that come free here."""
+
+    def offer(self, service: str) -> None:
+        """Offer a free slot of a service to a peer whose calls wait, if any."""
+        ...
+
 
 class Claims(Protocol):
     """Idempotency keys, claimed before anything is sent."""
@@ -633,6 +682,22 @@
         ...
 
 
+class Status(Protocol):
+    """Status of this entry, for operators."""
+
+    def healthy(self) -> bool:
+        """Tell whether the entry takes new work and is not stopping."""
+        ...
+
+    def entry(self) -> EntryStatus:
+        """Return the status of this entry."""
+        ...
+
+    def publish(self) -> None:
+        """Set the gauges among the metrics to the status."""
+        ...
+
+
 @runtime_checkable
 class Policy(Protocol):
     """Chooses among candidates with known free slots."""
@@ -640,3 +705,14 @@
     def choose(self, free_by_id: dict[str, int]) -> str | None:
         """Return the id of the chosen candidate, or None if there is none."""
         ...
+
+
+@runtime_checkable
+class ServerPolicy(Protocol):
+    """Chooses a backend server where entries share nothing."""
+
+    def choose(
+        self, servers: list[BackendServer], load_by_id: dict[str, int]
+    ) -> BackendServer:
+        """Return one of the servers, given the requests counted at each."""
+        ...
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -2,12 +2,14 @@
 
 Run with ``python -m tests.standins.backend --manifest FILE --control IP:port``.
 ``POST /faults/ID`` on the control address sets fields of ``BackendState`` by name;
+``break_offs`` large answers break off half way; ``GET /large/SIZE`` is such an answer.
 ``GET /journal`` returns every run of every request, ``GET /peaks`` the most requests
 that each backend server had in flight at once, cold and warm.
 """
 
 import json
 import random
+import re
 import threading
 import time
 import uuid
@@ -24,6 +26,7 @@
 
 SERVICE_S = 0.01
 WARM_AFTER_RUNS = 20
+LARGE_PATH = "/large/"
 
 
 @define
@@ -47,6 +50,9 @@
     server: BackendServer
     service_s: float = SERVICE_S
     sigma: float = 0.0
+    draw_seed: int | None = None
+    zone_s: float = 0.0
+    queueing: bool = False
     probe_s: float = 0.0
     warm: bool = True
     leaving: bool = False
@@ -54,8 +60,10 @@
     failing: bool = False
     silent: bool = False
     lying_load: bool = False
+    break_offs: int = 0
     boot_id: str = field(factory=lambda: uuid.uuid4().hex[:8])
     in_flight: int = 0
+    running: int = 0
     peak_cold: int = 0
     peak_warm: int = 0
     runs_since_boot: int = 0
@@ -64,6 +72,7 @@
     fallen: int = 0
     journal: list[Run] = field(factory=list)
     cancelled: set[str] = field(factory=set)
+    active: set[str] = field(factory=set)
     draw: random.Random = field(factory=lambda: random.Random(1))
     condition: threading.Condition = field(factory=threading.Condition)
 
@@ -109,11 +118,31 @@
             if self.runs_since_boot >= WARM_AFTER_RUNS:
                 self.warm = True
 
-    def work(self, attempt: str, deadline_unix: float) -> bool:
+    def wait_for_slot(self) -> None:
+        """Wait until one of the server's slots is free, if it queues at all."""
+        with self.condition:
+            while self.queueing and self.running >= self.server.slots:
+                self.condition.wait()
+            self.running += 1
+
+    def free_slot(self) -> None:
+        """Give the slot back."""
+        with self.condition:
+            self.running -= 1
+            if self.queueing:
+                self.condition.notify_all()
+
+    def draw_work_s(self, path: str) -> float:
+        """Return the service time of a request in seconds."""
+        if not self.sigma:
+            return self.service_s
+        if self.draw_seed is None:
+            return self.service_s * self.draw.lognormvariate(0.0, self.sigma)
+        return self.service_s * work_factor(path, self.draw_seed, self.sigma)
+
+    def work(self, attempt: str, deadline_unix: float, path: str = "") -> bool:
         """Spend the service time; return False if cancelled."""
-        work_s = self.service_s
-        if self.sigma:
-            work_s *= self.draw.lognormvariate(0.0, self.sigma)
+        work_s = self.draw_work_s(path)
         end_at = min(time.time() + work_s, deadline_unix)
         with self.condition:
             while attempt not in self.cancelled:
@@ -125,10 +154,26 @@
             return False
 
     def cancel(self, attempt: str) -> None:
-        """Stop a run."""
+        """Stop a run, and return once it has ended."""
         with self.condition:
             self.cancelled.add(attempt)
             self.condition.notify_all()
+            self.condition.wait_for(lambda: attempt not in self.active)
+
+    def set_active(self, attempt: str, active: bool) -> None:
+        """State whether a run goes on."""
+        with self.condition:
+            if active:
+                self.active.add(attempt)
+            else:
+                self.active.discard(attempt)
+                self.condition.notify_all()
+
+
+def work_factor(path: str, seed: int, sigma: float) -> float:
+    """Return a log-normal factor of mean 1 that depends on path and seed only."""
+    draw = random.Random(f"{seed}{path}")
+    return draw.lognormvariate(-sigma * sigma / 2, sigma)
 
 
 def make_handler(state: BackendState) -> type[StandInHandler]:
@@ -188,26 +233,62 @@
                 time.monotonic(),
             )
             state.journal.append(run)
+            state.set_active(attempt, True)
             try:
                 if not state.enter():
                     time.sleep(1.0)
                     self.close_connection = True
                     return
-                run.cancelled = not state.work(attempt, deadline)
+                state.wait_for_slot()
+                try:
+                    run.cancelled = not state.work(attempt, deadline, self.path)
+                finally:
+                    state.free_slot()
+                time.sleep(state.zone_s)
             finally:
                 state.leave()
                 run.ended_at = time.monotonic()
+                state.set_active(attempt, False)
             if state.silent:
                 time.sleep(3600)
             if run.cancelled:
                 self.answer(499, b"cancelled", self._headers(attempt))
                 return
+            if self.path.startswith(LARGE_PATH):
+                self._answer_large(attempt)
+                return
             echo = f"{state.server.id} {self.command} {self.path} ".encode() + body
             self.answer(200, echo, self._headers(attempt))
 
+        def _answer_large(self, attempt: str) -> None:
+            body = large_body(int(self.path.removeprefix(LARGE_PATH)))
+            headers = {**self._headers(attempt), "ETag": f'"{len(body)}"'}
+            wanted = re.fullmatch(r"bytes=(\d+)-", self.headers.get("Range", ""))
+            status, first = 200, 0
+            if wanted and self.headers.get("If-Range") == headers["ETag"]:
+                status, first = 206, int(wanted[1])
+                headers["Content-Range"] = f"bytes {first}-{len(body) - 1}/{len(body)}"
+            if state.break_offs <= 0:
+                self.answer(status, body[first:], headers)
+                return
+            state.break_offs -= 1
+            headers["Content-Length"] = str(len(body) - first)
+            self.send_response_only(status)
+            for name, value in headers.items():
+                self.send_header(name, value)
+            self.end_headers()
+            self.wfile.write(body[first : first + (len(body) - first) // 2])
+            self.wfile.flush()
+            self.close_connection = True
+
     return Handler
 
 
+def large_body(size: int) -> bytes:
+    """Return the body of a large answer."""
+    return random.Random(size).randbytes(size)
+
+
 def make_control(state_by_id: dict[str, BackendState]) -> type[StandInHandler]:
     """Return a handler class for the control address."""
 
@@ -271,14 +352,26 @@
     sigma: float = 0.0,
     probe_s: float = 0.0,
     cold: bool = False,
+    draw_seed: int | None = None,
+    zone_s: float = 0.0,
+    queueing: bool = False,
+    part: int = 0,
+    parts: int = 1,
 ) -> None:
-    """Serve all backend servers of a manifest until killed."""
+    """Serve the backend servers of a manifest, or one part of them, until killed."""
     declared = read_manifest(Path(manifest).read_text(encoding="utf-8"), manifest)
     state_by_id = {
         server.id: BackendState(
-            server, service_s=service_s, sigma=sigma, probe_s=probe_s, warm=not cold
+            server,
+            service_s=service_s,
+            sigma=sigma,
+            probe_s=probe_s,
+            warm=not cold,
+            draw_seed=draw_seed,
+            zone_s=zone_s,
+            queueing=queueing,
         )
-        for server in declared.backend_servers
+        for server in declared.backend_servers[part::parts]
     }
     for state in state_by_id.values():
         start_backend(state)
