--- a/bench/run.py
+++ b/bench/run.py
@@ -197,7 +197,7 @@
 
 def _names(value: str | tuple[str, ...]) -> tuple[str, ...]:
     if isinstance(value, str):
-        return (value,) if value else ()
+        return tuple(value.split(",")) if value else ()
     return tuple(value)
 
 
