--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -17,6 +17,7 @@
     StrictResponse,
     clean_headers,
     open_connection,
+    shut_down,
 )
 from dotterelpier.errors import (
     AnswerLostError,
@@ -160,11 +161,7 @@
                 self._shut_down()
 
     def _shut_down(self) -> None:
-        if self._socket is not None:
-            try:
-                self._socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        shut_down(self._socket)
 
     def _next(self) -> PooledExchange | None:
         try:
--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -181,3 +181,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def shut_down(sock: socket.socket | None) -> None:
+    """Break a connection, so that whoever waits for it stops waiting."""
+    if sock is not None:
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -13,7 +13,7 @@
 from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.call import Answer, Attempt, Call
 from dotterelpier.model.directory import DirectoryAnswer
-from dotterelpier.model.evidence import LoadReport, Observation
+from dotterelpier.model.evidence import Observation, ProbeAnswer
 from dotterelpier.model.manifest import BackendServer, Revision
 from dotterelpier.model.membership import (
     Assignment,
@@ -26,6 +26,7 @@
     SlotOffer,
 )
 from dotterelpier.model.platform import Row, Vm, Write
+from dotterelpier.model.status import EntryStatus
 
 
 class ServiceName(str, Enum):
@@ -54,6 +55,7 @@
     CALLS = "calls"
     DIRECTORY = "directory"
     DRAIN = "drain"
+    STATUS = "status"
     CALLER_FRONTEND = "caller_frontend"
     RELAY_FRONTEND = "relay_frontend"
     PEER_FRONTEND = "peer_frontend"
@@ -207,6 +209,13 @@
         """Add a value to a histogram."""
         ...
 
+    def keep_label_values(self, label: str, values: frozenset[str]) -> None:
+        """Allow only these values of a label and drop the series of others.
+
+        What is counted under any other value is counted under ``"other"``.
+        """
+        ...
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         ...
@@ -357,6 +366,18 @@
         ...
 
 
+class ProbeGate(Protocol):
+    """Decides whether a backend server bears a probe now."""
+
+    def begin_probe(self, backend_id: str) -> bool:
+        """Tell whether a probe may be sent; it must be ended if so."""
+        ...
+
+    def end_probe(self, backend_id: str) -> None:
+        """State that the probe ended."""
+        ...
+
+
 class Evidence(Protocol):
     """What is known of the backend servers whose home this entry is."""
 
@@ -372,6 +393,10 @@
         """Return the age of the newest evidence in seconds."""
         ...
 
+    def budget_spent(self, backend_id: str) -> float:
+        """Return the share of the measuring budget spent since measuring began."""
+        ...
+
     def refresh(self, service: str) -> None:
         """Ask for probes of the service's idle backend servers."""
         ...
@@ -380,8 +405,12 @@
         """Call a listener with each observation."""
         ...
 
+    def ask_before_probes(self, gate: ProbeGate) -> None:
+        """Let a gate decide about each probe."""
+        ...
+
 
-class Admission(Protocol):
+class Admission(ProbeGate, Protocol):
     """Slots of the backend servers whose home this entry is."""
 
     def try_acquire(
@@ -390,18 +419,23 @@
         """Take a slot if one is free, on a server that is not excluded."""
         ...
 
-    def wait(self, service: str, deadline_at: float) -> "Future[Slot]":
+    def wait(
+        self,
+        service: str,
+        deadline_at: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> "Future[Slot]":
         """Queue for a slot; cancel the future to leave the queue.
 
         Raises
         ------
         OverloadedError
-            If the queue of the service is full.
+            If the queue of the service is full, or too long for the deadline.
         """
         ...
 
     def release(self, slot: Slot) -> None:
-        """Give a slot back."""
+        """Give a slot back, once the request surely no longer runs."""
         ...
 
     def load_by_service(self) -> dict[str, ServiceLoad]:
@@ -433,6 +467,14 @@
         """
         ...
 
+    def subscribe_cancel(self, listener: Callable[[tuple[int, ...]], None]) -> None:
+        """Call a listener with the ids of slots that a cold server cannot bear.
+
+        Idempotent requests in these slots are to be cancelled and sent elsewhere.
+        The listener must not block.
+        """
+        ...
+
     def bearing(self, backend_id: str) -> HandoverState:
         """Return what a backend server bears and has in flight from here."""
         ...
@@ -469,7 +511,7 @@
         """
         ...
 
-    def probe(self, server: BackendServer, timeout_s: float) -> LoadReport:
+    def probe(self, server: BackendServer, timeout_s: float) -> ProbeAnswer:
         """Probe a backend server.
 
         Raises
@@ -640,6 +682,22 @@
         ...
 
 
+class Status(Protocol):
+    """Status of this entry, for operators."""
+
+    def healthy(self) -> bool:
+        """Tell whether the entry takes new work and is not stopping."""
+        ...
+
+    def entry(self) -> EntryStatus:
+        """Return the status of this entry."""
+        ...
+
+    def publish(self) -> None:
+        """Set the gauges among the metrics to the status."""
+        ...
+
+
 @runtime_checkable
 class Policy(Protocol):
     """Chooses among candidates with known free slots."""
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -24,9 +24,14 @@
         Name of the entry, unique among the entries of a tenant.
     zone : str
         Availability zone of its VM.
-    caller_address, relay_address, peer_address, operator_address : str
-        ``IP:port`` to listen on for callers, relayed calls of other entries,
-        control messages of other entries, and operators.
+    caller_address : str
+        ``IP:port`` to listen on for callers.
+    relay_address : str
+        ``IP:port`` to listen on for calls that other entries relay.
+    peer_address : str
+        ``IP:port`` to listen on for control messages of other entries.
+    operator_address : str
+        ``IP:port`` to listen on for operators: metrics, health and status.
     """
 
     name: str
@@ -94,16 +99,24 @@
 
     Attributes
     ----------
-    caller_threads, relay_threads, peer_threads : int
-        Threads that serve callers, relayed calls and control messages.
-    backend_connections, relay_connections : int
-        Connections, each with a task, to backend servers and other entries.
+    caller_threads : int
+        Threads that serve callers; as many calls can be in flight at once.
+    relay_threads : int
+        Threads that serve calls relayed by other entries.
+    peer_threads : int
+        Threads that serve control messages of other entries.
+    backend_connections : int
+        Connections to backend servers, each with a task.
+    relay_connections : int
+        Connections to other entries for relayed calls, each with a task.
     peers : int
         Peers, each with a task.
     measured : int
         Backend servers measured, each with a task.
-    max_body_bytes, max_header_bytes : int
-        Largest request body and headers of a caller, in bytes.
+    max_body_bytes : int
+        Largest request body of a caller, in bytes.
+    max_header_bytes : int
+        Largest request line and headers of a caller together, in bytes.
     idle_connection_s : float
         Age at which an idle connection is closed, in seconds.
     """
@@ -164,6 +177,25 @@
     level: str = field(default="INFO", validator=in_(LOG_LEVELS))
 
 
+@frozen
+class TlsSettings:
+    """Files for TLS on the channel for control messages between entries.
+
+    Attributes
+    ----------
+    certificate_file : str
+        Own certificate chain in PEM; it must name the IP of ``peer_address``.
+    key_file : str
+        Private key of the certificate, in PEM.
+    ca_file : str
+        Certificates in PEM of the authorities that sign those of the entries.
+    """
+
+    certificate_file: str
+    key_file: str
+    ca_file: str
+
+
 @frozen
 class Settings:
     """All settings of a process.
@@ -174,6 +206,16 @@
         Used by entries and by operators' commands.
     entry : EntrySettings or None
         Only for entries.
+    lease : LeaseSettings
+        Lease of the entry and contact with its peers.
+    limits : LimitSettings
+        Sizes of the executors and buffers.
+    directory : DirectorySettings
+        Answers to callers that ask which entries to use.
+    log : LogSettings
+        Logs.
+    tls : TlsSettings or None
+        Without it, control messages between entries are not encrypted.
     """
 
     platform: PlatformSettings
@@ -183,6 +225,7 @@
     directory: DirectorySettings = Factory(DirectorySettings)
     routing: RoutingSettings = Factory(RoutingSettings)
     log: LogSettings = Factory(LogSettings)
+    tls: TlsSettings | None = None
 
 
 def read_settings(path: Path) -> Settings:
