Streams of handovers leave threads for heartbeats

Cause: each handover stream holds a thread of the peers' front end until its last request ended. An entry that hands over as many backend servers with long requests as it has threads (16) answers no heartbeat, so its peers count it as unheard. Ruled out: the client's side, which has an executor of its own for handovers. Before: "peer_unavailable: Stream removed (Deadline Exceeded) (peer.beat at entry-1)". Now half of the threads may hold streams. A handover above that reports once, and the new home counts the requests until the deadlines that the report states, as it does where a stream breaks off.

--- a/dotterelpier/frontends/peers.py
+++ b/dotterelpier/frontends/peers.py
@@ -1,11 +1,12 @@
 """gRPC front end for other entries."""
 
+import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import grpc
-from attrs import define
+from attrs import define, field
 
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import (
@@ -22,19 +23,27 @@
 from dotterelpier.wire import peers_pb2, peers_pb2_grpc
 
 HANDOVER_REPORT_S = 0.1
+DEFAULT_HANDOVER_STREAMS = 8
 STOP_GRACE_S = 0.5
 SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
 
 
 @define
 class PeerServicer(peers_pb2_grpc.PeersServicer):  # type: ignore[misc]
-    """Answers control messages of other entries."""
+    """Answers control messages of other entries.
+
+    Streams of handovers hold a thread each, so they are bounded; a handover above the
+    bound gets one report, and the new home waits out the deadlines that it states.
+    """
 
     _timer: Timer
     _membership: Membership
     _manifest: ManifestKeeper
     _admission: Admission
     _homes: Homes
+    _streams: threading.Semaphore = field(
+        factory=lambda: threading.Semaphore(DEFAULT_HANDOVER_STREAMS)
+    )
 
     def Beat(self, request: peers_pb2.Heartbeat, context: Any) -> peers_pb2.Heartbeat:  # noqa: N802
         """Take in a heartbeat and return the own one."""
@@ -69,11 +78,23 @@
         """Hand a backend server over and report until nothing is in flight."""
         state = self._homes.hand_over(request.backend_id, request.assignment)
         yield wire.encode_handover(state)
+        if not state.in_flight or not self._streams.acquire(blocking=False):
+            return
+        try:
+            yield from self._report_until_drained(request.backend_id, context)
+        finally:
+            self._streams.release()
+
+    def _report_until_drained(
+        self, backend_id: str, context: Any
+    ) -> Iterator[peers_pb2.HandoverState]:
         subscription = self._timer.every(HANDOVER_REPORT_S)
         try:
-            while state.in_flight and context.is_active() and subscription.wait():
-                state = self._admission.bearing(request.backend_id)
+            while context.is_active() and subscription.wait():
+                state = self._admission.bearing(backend_id)
                 yield wire.encode_handover(state)
+                if not state.in_flight:
+                    return
         finally:
             subscription.cancel()
 
@@ -130,6 +151,7 @@
         kernel.find(ServiceName.MANIFEST, ManifestKeeper),
         kernel.find(ServiceName.ADMISSION, Admission),
         kernel.find(ServiceName.HOMES, Homes),
+        threading.Semaphore(settings.limits.peer_threads // 2),
     )
     keys = read_tls_keys(settings.tls)
     return PeerFrontend(servicer, address, settings.limits.peer_threads, keys)
