--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,9 +1,10 @@
-"""Handovers of backend servers between entries over gRPC."""
+"""Handovers and lists of members between entries over gRPC."""
 
 from concurrent.futures import ThreadPoolExecutor
 from threading import Semaphore
 
 import pytest
+from attrs import evolve
 
 from dotterelpier.clients.peers import make_peers
 from dotterelpier.errors import PeerUnavailableError
@@ -27,6 +28,7 @@
 
     def __init__(self) -> None:
         self.in_flight = 1
+        self.members = [MEMBER]
 
     def bearing(self, backend_id: str) -> HandoverState:
         return HandoverState(1, self.in_flight, 30.0)
@@ -34,6 +36,9 @@
     def hand_over(self, backend_id: str, assignment: int) -> HandoverState:
         return self.bearing(backend_id)
 
+    def known_by_id(self) -> dict[str, Member]:
+        return {member.id: member for member in self.members}
+
     def heard(self, heartbeat: Heartbeat) -> None:
         pass
 
@@ -41,7 +46,7 @@
         return Heartbeat(MEMBER.id)
 
 
-@pytest.fixture
+@pytest.fixture(scope="module")
 def home():
     kernel = make_kernel()
     kernel.register(ServiceName.CLOCK, make_clock())
@@ -83,6 +88,19 @@
     assert first_reports[0].in_flight == 1
 
 
+def test_members_are_listed(home: BusyHome) -> None:
+    other = evolve(MEMBER, id="entry-3", revision=7, leaving=True, lease_s=9.0)
+    home.members = [MEMBER, other]
+    assert make_peers("entry-2").list_members(ADDRESS) == (MEMBER, other)
+
+
+def test_member_with_a_malformed_address_is_refused(home: BusyHome) -> None:
+    home.members = [evolve(MEMBER, relay_address="localhost:1")]
+    with pytest.raises(PeerUnavailableError, match="localhost"):
+        make_peers("entry-2").list_members(ADDRESS)
+
+
 def test_entry_that_is_gone_is_an_error() -> None:
+    gone = evolve(MEMBER, peer_address=f"127.{NET}.7.2:8002")
     with pytest.raises(PeerUnavailableError):
-        make_peers("entry-2").hand_over(MEMBER, "server-1", 1, lambda _: None)
+        make_peers("entry-2").hand_over(gone, "server-1", 1, lambda _: None)
