--- a/dotterelpier/manifest_apply.py
+++ b/dotterelpier/manifest_apply.py
@@ -72,7 +72,7 @@
         SHA-256 of the text.
     acknowledged, members : int
         Members that have it in force, and all members.
-    outvoted : bool
+    behind_is_minority : bool
         Whether the members that have not acknowledged it are too few to go on with
         an older revision among themselves, whatever members they know.
     """
@@ -81,12 +81,12 @@
     digest: str
     acknowledged: int = 0
     members: int = 0
-    outvoted: bool = False
+    behind_is_minority: bool = False
 
     @property
     def in_force(self) -> bool:
         """Tell whether no entry can go on with an older revision."""
-        return self.outvoted and 2 * self.acknowledged > self.members
+        return self.behind_is_minority and 2 * self.acknowledged > self.members
 
 
 def apply_manifest(
@@ -152,7 +152,7 @@
         applied,
         acknowledged=len(members) - len(behind),
         members=len(members),
-        outvoted=all(2 * len(behind) < member.known for member in behind),
+        behind_is_minority=all(2 * len(behind) < member.known for member in behind),
     )
 
 
--- a/dotterelpier/services/contacts.py
+++ b/dotterelpier/services/contacts.py
@@ -28,7 +28,7 @@
     _status_by_id: dict[str, PeerStatus] = field(factory=dict)
     _unreached_at_by_id: dict[str, float] = field(factory=dict)
     _ahead_since_by_id: dict[str, float] = field(factory=dict)
-    _stranger_reached_at: float = NEVER
+    _unknown_reached_at: float = NEVER
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def hear(
@@ -65,10 +65,10 @@
             with self._lock:
                 self._unreached_at_by_id[member.id] = asked_at
 
-    def hear_stranger(self, heartbeat: Heartbeat, now: float) -> None:
+    def hear_unknown_sender(self, heartbeat: Heartbeat, now: float) -> None:
         """Take in a heartbeat of an entry whose lease row was not read yet."""
         if heartbeat.platform_reached:
-            self._stranger_reached_at = now
+            self._unknown_reached_at = now
 
     def retain(self, member_ids: Collection[str]) -> None:
         """Forget all peers but these."""
@@ -105,7 +105,7 @@
         Each peer must have replied lately that it does not reach the platform; it
         claims nothing for longer than ``contact_s`` after it reaches it again.
         """
-        if now - self._stranger_reached_at < self._contact_s:
+        if now - self._unknown_reached_at < self._contact_s:
             return NEVER
         with self._lock:
             oldest = min(
--- a/dotterelpier/services/membership.py
+++ b/dotterelpier/services/membership.py
@@ -164,7 +164,7 @@
         now = self._clock.monotonic()
         member = self._sightings.known_by_id().get(heartbeat.sender_id)
         if member is None:
-            self._contacts.hear_stranger(heartbeat, now)
+            self._contacts.hear_unknown_sender(heartbeat, now)
         elif member.id != self._me.id:
             self._contacts.hear(member, heartbeat, now, self._me.revision)
             self._tell_listeners(member, heartbeat)
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -128,7 +128,7 @@
         ([(1, 3), (1, 3), (2, 5), (2, 5), (2, 5)], False),
     ],
 )
-def test_in_force_once_those_behind_are_outvoted(rows, in_force) -> None:
+def test_in_force_once_those_behind_are_a_minority(rows, in_force) -> None:
     members = [_member(str(index), *row) for index, row in enumerate(rows)]
     counted = count_acknowledgements(members, AppliedManifest(2, "digest"))
     assert counted.in_force is in_force
