An entry that cannot listen ends instead of hanging

Cause: a front end that failed to listen raised out of the start, but the tasks started before it went on, so the process neither served nor ended, and SIGTERM no longer ended it. Ruled out: the executors; their threads end once their services are stopped.

Before: with its caller address taken, an entry logs a traceback and was still there ten minutes and one SIGTERM later. After: the services that were started are stopped, and it exits with status 3, naming the address; tried for each of its four addresses.

--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -50,7 +50,7 @@
     Raises
     ------
     SettingsError
-        If the settings describe no entry.
+        If the settings describe no entry, or an address that cannot be listened on.
     """
     stop_requested = threading.Event()
 
@@ -60,7 +60,7 @@
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
     kernel = make_entry(settings)
-    kernel.start()
+    _start(kernel)
     logger.info("entry started", step="entry")
     stop_requested.wait()
     kernel.find(ServiceName.DRAIN, Drain).run()
@@ -68,6 +68,15 @@
     logger.info("entry stopped", step="entry")
 
 
+def _start(kernel: Kernel) -> None:
+    try:
+        kernel.start()
+    except BaseException:
+        # Tasks that already run would keep the process alive.
+        kernel.stop()
+        raise
+
+
 def make_entry(settings: Settings) -> Kernel:
     """Return a kernel with all services of an entry, not yet started.
 
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -9,6 +9,7 @@
 from waitress.server import create_server
 
 from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.errors import SettingsError
 from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.protocols import TaskKind, Tasks
 
@@ -43,9 +44,25 @@
     _socket_map: dict[int, Any] = field(factory=dict)
 
     def start(self) -> None:
-        """Listen, and start the task that serves."""
+        """Listen, and start the task that serves.
+
+        Raises
+        ------
+        SettingsError
+            If the address cannot be listened on.
+        """
+        try:
+            self._server = self._listen()
+        except OSError as error:
+            raise SettingsError(
+                error.strerror or str(error), step="http.listen", peer=self._address
+            ) from None
+        self._server.channel_class = StrictChannel
+        self._tasks.submit(TaskKind.FRONTEND, self._server.run)
+
+    def _listen(self) -> Any:
         parsed = parse_address(self._address)
-        self._server = create_server(
+        return create_server(
             self._application,
             map=self._socket_map,
             host=parsed.host,
@@ -65,8 +82,6 @@
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
         )
-        self._server.channel_class = StrictChannel
-        self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
     def stop(self) -> None:
         """Close all connections and end the task."""
--- a/dotterelpier/frontends/peers.py
+++ b/dotterelpier/frontends/peers.py
@@ -7,6 +7,7 @@
 import grpc
 from attrs import define
 
+from dotterelpier.errors import SettingsError
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import (
     Admission,
@@ -93,13 +94,18 @@
 
         Raises
         ------
-        RuntimeError
-            If the address is taken.
+        SettingsError
+            If the address cannot be listened on.
         """
         executor = ThreadPoolExecutor(self._threads, thread_name_prefix="peer_frontend")
         self._server = grpc.server(executor, options=SERVER_OPTIONS)
         peers_pb2_grpc.add_PeersServicer_to_server(self._servicer, self._server)
-        self._add_port(self._server)
+        try:
+            self._add_port(self._server)
+        except RuntimeError as error:
+            raise SettingsError(
+                str(error), step="peers.listen", peer=self._address
+            ) from None
         self._server.start()
 
     def _add_port(self, server: grpc.Server) -> None:
