Audit entries of one moment keep the order of their revisions

Cause: the key of an entry ended in random digits after its time, so two changes within a microsecond could be listed the wrong way round. Ruled out: the platform's order of rows, which is by key.

Before: test_accepted_change_is_audited_in_its_transaction fails in about half of its runs with revisions [2, 1, 3]. After: the revision comes before the random digits; test_entries_of_one_moment_sort_by_revision.

--- a/dotterelpier/services/audit.py
+++ b/dotterelpier/services/audit.py
@@ -24,8 +24,9 @@
 
 
 def entry_write(entry: AuditEntry) -> Write:
-    """Return the write that adds an entry; keys sort by time."""
-    key = f"{AUDIT_PREFIX}{entry.at:017.6f}-{uuid.uuid4().hex[:8]}"
+    """Return the write that adds an entry; keys sort by time, then by revision."""
+    unique = uuid.uuid4().hex[:8]
+    key = f"{AUDIT_PREFIX}{entry.at:017.6f}-{entry.revision:010d}-{unique}"
     return Write(key, encode_row(entry))
 
 
