Slots are offered to calls that wait at a leaving entry

Cause: a home that looks for a peer with waiting calls left out peers in a planned stop. An entry whose homes were handed over has no slot of its own, so a call queued there at that moment waited until its deadline. Ruled out: the stop refusing calls (code was "overloaded", step "calls.wait"). After: 2 tests of the planned stop pass.

--- a/dotterelpier/services/routing.py
+++ b/dotterelpier/services/routing.py
@@ -83,7 +83,10 @@
             }
         if not waiting_by_id:
             return None
-        member_by_id = self._usable_peers(frozenset())
+        # A leaving entry has no homes left, so only offers can end its queue.
+        member_by_id = {
+            status.member.id: status.member for status in self._membership.peers()
+        }
         candidates = waiting_by_id.keys() & member_by_id.keys()
         if not candidates:
             return None
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -75,6 +75,14 @@
     assert routing.choose_peer(SERVICE, NOBODY) is None
 
 
+def test_calls_that_wait_at_a_leaving_peer_are_offered_slots(
+    membership, routing
+) -> None:
+    membership.leaving_ids.add("a")
+    membership.hear("a", ServiceLoad(waiting=1))
+    assert routing.take_waiting_peer(SERVICE).id == "a"
+
+
 def test_excluded_and_leaving_peers_are_not_chosen(membership, routing) -> None:
     membership.hear("a", ServiceLoad(4, 4))
     membership.hear("b", ServiceLoad(4, 4))
