A planned stop waits for answers to be sent, and takes bounded time

Ruled out: the stream between home and backend server, which had ended. - It left after the longest age of a directory answer, counted from the signal; other entries go on naming it until they hear of the stop.

Now it serves until all entries know and no caller holds the address, closes connections with their next answer, waits for homes to be handed over, refuses new calls as not run, and waits for calls and unsent answers, each for a bounded time. The directory leaves out entries that said so in a heartbeat, which needs no platform.

--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -173,7 +173,7 @@
     )
     directory = make_directory(kernel, settings.directory)
     kernel.register(ServiceName.DIRECTORY, directory, (ServiceName.HOMES,))
-    drain = make_drain(kernel, settings.directory)
+    drain = make_drain(kernel, settings)
     kernel.register(ServiceName.DRAIN, drain, (ServiceName.CALLS,))
     kernel.register(ServiceName.STATUS, make_status(kernel), (ServiceName.DRAIN,))
 
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -13,6 +13,7 @@
     DotterelpierError,
     InternalError,
     InvalidCallError,
+    StoppingError,
     UnknownServiceError,
 )
 from dotterelpier.frontends.http_server import (
@@ -29,6 +30,7 @@
     Calls,
     Clock,
     Directory,
+    Drain,
     ManifestKeeper,
     Metrics,
     ServiceName,
@@ -74,6 +76,7 @@
     _directory: Directory
     _admission: Admission
     _metrics: Metrics
+    _drain: Drain
     _relayed: bool
 
     def __call__(
@@ -89,6 +92,8 @@
                 return self._answer_directory(environ, query, start_response)
             call = self._decode(environ, call_id)
             service = call.service
+            if not self._drain.takes_calls():
+                raise StoppingError("entry is stopping", step="callers.serve")
             answer = self._calls.serve(call)
         except DotterelpierError as error:
             self._log_failure(call_id, service, error)
@@ -285,6 +290,7 @@
         kernel.find(ServiceName.DIRECTORY, Directory),
         kernel.find(ServiceName.ADMISSION, Admission),
         kernel.find(ServiceName.METRICS, Metrics),
+        kernel.find(ServiceName.DRAIN, Drain),
         relayed,
     )
 
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from waitress import wasyncore
 from waitress.server import create_server
+from waitress.task import WSGITask
 
 from dotterelpier.clients.http_connection import parse_address
 from dotterelpier.frontends.strict_http import StrictChannel
@@ -29,6 +30,26 @@
 BACKLOG = 2048
 
 
+class ClosingTask(WSGITask):
+    """Serves one request; closes the connection after it while the server stops."""
+
+    def build_response_header(self) -> bytes:
+        """Return the head of the answer."""
+        if getattr(self.channel.server, "closes_after_answers", False):
+            self.set_close_on_finish()
+        return bytes(super().build_response_header())
+
+
+class EntryChannel(StrictChannel):
+    """A connection that ends with the planned stop."""
+
+    task_class = ClosingTask
+
+    def busy(self) -> bool:
+        """Tell whether a request is being served or an answer is not yet sent."""
+        return bool(self.requests or self.total_outbufs_len)
+
+
 @define
 class HttpServer:
     """Listens on one address and serves a WSGI application."""
@@ -65,9 +86,18 @@
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
         )
-        self._server.channel_class = StrictChannel
+        self._server.channel_class = EntryChannel
         self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer, and say so in the answer."""
+        self._server.closes_after_answers = True
+
+    def busy(self) -> bool:
+        """Tell whether a request is being served or an answer is not yet sent."""
+        channels = tuple(self._server.active_channels.values())
+        return any(channel.busy() for channel in channels)
+
     def stop(self) -> None:
         """Close all connections and end the task."""
         if self._server is None:
--- a/dotterelpier/protocols.py
+++ b/dotterelpier/protocols.py
@@ -677,11 +677,27 @@
         """Tell whether the planned stop has begun."""
         ...
 
+    def takes_calls(self) -> bool:
+        """Tell whether new calls are still served."""
+        ...
+
     def run(self) -> None:
         """Perform the planned stop; return when no call is in flight."""
         ...
 
 
+class StoppableFrontend(Protocol):
+    """Front end that ends its connections in a planned stop."""
+
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer, and say so in the answer."""
+        ...
+
+    def busy(self) -> bool:
+        """Tell whether a request is being served or an answer is not yet sent."""
+        ...
+
+
 class Status(Protocol):
     """Status of this entry, for operators."""
 
--- a/dotterelpier/services/directory.py
+++ b/dotterelpier/services/directory.py
@@ -40,10 +40,11 @@
                 f"no service {service!r} is declared", step="directory"
             )
         weight_by_id = self._weight_by_id(revision.manifest, service)
+        leaving_ids = self._leaving_ids()
         members = [
             member
             for member in self._membership.live_by_id().values()
-            if not member.leaving
+            if not member.leaving and member.id not in leaving_ids
         ]
         members.sort(key=lambda item: self._rank(item, weight_by_id))
         entries = tuple(
@@ -54,6 +55,14 @@
         )
         return DirectoryAnswer(service, entries, self._settings.max_age_s)
 
+    def _leaving_ids(self) -> set[str]:
+        """Return who said so in a heartbeat, which needs no platform."""
+        return {
+            status.member.id
+            for status in self._membership.peers()
+            if status.heartbeat is not None and status.heartbeat.leaving
+        }
+
     def _weight_by_id(self, manifest: Manifest, service: str) -> dict[str, int]:
         weight_by_id = self._declared_slots_by_id(manifest, service)
         for member_id in weight_by_id:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -1,9 +1,11 @@
 """Callers as the brief describes them: ask for entries, keep the answer, connect."""
 
+import contextlib
 import http.client
 import random
 import time
 import uuid
+from typing import Any
 
 from attrs import define, field, frozen
 
@@ -77,8 +79,7 @@
         return self._random.choices(kept.addresses, kept.weights)[0]
 
     def _ask(self, service: str) -> _Kept:
-        asked = self._random.choice(self.bootstrap)
-        answer = request_json(asked, f"/v1/entries?service={service}")
+        answer = self._ask_any(f"/v1/entries?service={service}")
         entries = answer["entries"]
         return _Kept(
             [entry["address"] for entry in entries],
@@ -86,6 +87,14 @@
             time.monotonic() + answer["max_age_s"],
         )
 
+    def _ask_any(self, target: str) -> Any:
+        """Ask the entries known in random order until one answers."""
+        asked = self._random.sample(self.bootstrap, len(self.bootstrap))
+        for address in asked[:-1]:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                return request_json(address, target)
+        return request_json(asked[-1], target)
+
     def _connection(self, address: str) -> http.client.HTTPConnection:
         connection = self._connection_by_address.get(address)
         if connection is None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -219,6 +219,16 @@
         self.entries.append(entry)
 
 
+class NotDraining:
+    """A planned stop that has not begun."""
+
+    def draining(self) -> bool:
+        return False
+
+    def takes_calls(self) -> bool:
+        return True
+
+
 def make_step_kernel(clock: ManualClock, platform: MemoryPlatform) -> Kernel:
     """Return a kernel whose foundations are fakes."""
     kernel = make_kernel()
--- a/tests/test_caller_frontend.py
+++ b/tests/test_caller_frontend.py
@@ -19,6 +19,7 @@
 from dotterelpier.services.metrics import make_metrics
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings, PlatformSettings, Settings
+from tests.fakes import NotDraining
 from tests.utils import NET
 
 ADDRESS = f"127.{NET}.6.2:8000"
@@ -71,6 +72,7 @@
         ServiceName.MANIFEST: given,
         ServiceName.DIRECTORY: None,
         ServiceName.ADMISSION: None,
+        ServiceName.DRAIN: NotDraining(),
     }.items():
         kernel.register(name, service)
     settings = Settings(PlatformSettings("127.0.0.1:1"))
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,7 +5,14 @@
 
 from dotterelpier.errors import UnknownServiceError
 from dotterelpier.kernel import make_kernel
-from dotterelpier.model.membership import Assignment, Home, Member, ServiceLoad
+from dotterelpier.model.membership import (
+    Assignment,
+    Heartbeat,
+    Home,
+    Member,
+    PeerStatus,
+    ServiceLoad,
+)
 from dotterelpier.protocols import ServiceName
 from dotterelpier.services.directory import make_directory
 from dotterelpier.settings import DirectorySettings
@@ -19,6 +26,7 @@
     members: tuple[Member, ...]
     home_by_backend_id: dict[str, Home]
     load_by_member_id: dict[str, ServiceLoad] = field(factory=dict)
+    heard_leaving_ids: frozenset[str] = frozenset()
 
     def me(self) -> Member:
         return self.members[0]
@@ -26,6 +34,15 @@
     def live_by_id(self) -> dict[str, Member]:
         return {member.id: member for member in self.members}
 
+    def peers(self) -> tuple[PeerStatus, ...]:
+        return tuple(
+            PeerStatus(
+                member,
+                Heartbeat(member.id, leaving=member.id in self.heard_leaving_ids),
+            )
+            for member in self.members[1:]
+        )
+
     def assignment(self) -> Assignment:
         return Assignment(1, self.home_by_backend_id)
 
@@ -95,3 +112,8 @@
 def test_leaving_entries_are_not_named() -> None:
     members = (MEMBERS[0], make_member("b", "tt-north-2", leaving=True), MEMBERS[2])
     assert "b:8000" not in weight_by_address(Fakes(members, HOMES))
+
+
+def test_entries_that_leave_by_heartbeat_are_not_named() -> None:
+    fakes = Fakes(MEMBERS, HOMES, heard_leaving_ids=frozenset({"b"}))
+    assert "b:8000" not in weight_by_address(fakes)
--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -22,6 +22,7 @@
 from dotterelpier.settings import LimitSettings, PlatformSettings, Settings
 from dotterelpier.wire.backend import forwardable
 from dotterelpier.wire.manifest_toml import read_manifest
+from tests.fakes import NotDraining
 from tests.test_path import SERVER, SMALL
 from tests.utils import CONTROL_ADDRESS, NET, request, request_json, running_system
 
@@ -80,6 +81,7 @@
         kernel.register(ServiceName.MANIFEST, FixedManifest(_manifest()))
         kernel.register(ServiceName.DIRECTORY, None)
         kernel.register(ServiceName.ADMISSION, None)
+        kernel.register(ServiceName.DRAIN, NotDraining())
         server = make_caller_frontend(kernel, settings, ADDRESS)
         server.start()
         yield
