--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -142,6 +142,19 @@
     assert "revision 1: written, 0 of 1 acknowledged" in shown
 
 
+def test_refused_manifest_is_on_the_audit_trail(
+    environment, platform, settings, tmp_path
+) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text("tenant = 3\n")
+    line = f"manifest apply {file} --settings {settings}"
+    status, _, errors = _run(environment, *line.split())
+    assert status is ExitStatus.MANIFEST_INVALID
+    assert f"{file}: tenant: expected str, got 3" in errors
+    (row,) = platform.scan("audit/")
+    assert json.loads(row.value)["outcome"] == "refused"
+
+
 def test_platform_out_has_its_own_status(environment, platform, settings) -> None:
     platform.down = True
     line = f"manifest apply - --settings {settings}"
