--- a/dotterelpier/wire/peers.py
+++ b/dotterelpier/wire/peers.py
@@ -111,6 +111,7 @@
                 lease_s=member.lease_s,
                 revision=member.revision,
                 leaving=member.leaving,
+                operator_address=member.operator_address,
             )
             for member in members
         ]
@@ -140,4 +141,5 @@
         lease_s=message.lease_s,
         revision=message.revision,
         leaving=message.leaving,
+        operator_address=message.operator_address,
     )
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from dotterelpier.errors import ManifestError
+from dotterelpier.model.membership import Member
 from dotterelpier.wire import peers as wire
 from dotterelpier.wire import peers_pb2
 
@@ -40,3 +41,9 @@
     reply = peers_pb2.MembersReply(members=[peers_pb2.Member(id="entry-9")])
     with pytest.raises(ValueError, match="entry-9"):
         wire.decode_members(reply)
+
+
+def test_members_keep_their_operators_address() -> None:
+    addresses = [f"127.0.0.1:{port}" for port in range(1, 5)]
+    member = Member("entry-1", "z", *addresses[:3], operator_address=addresses[3])
+    assert wire.decode_members(wire.encode_members([member])) == (member,)
