A stopped pool opens no more connections

Cause: a cancellation sent while the pool stopped opened a connection whose task then stayed idle for idle_connection_s, and the interpreter waits for it at exit. Before: FAILED test_stopped_pool_opens_no_connection DID NOT RAISE ConnectFailedError After: 65 passed in test_connections.py, test_promise_4.py and test_calls.py.

--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -392,6 +392,7 @@
     _timer: Timer
     _idle_by_address: dict[str, list[PooledConnection]] = field(factory=dict)
     _connections: set[PooledConnection] = field(factory=set)
+    _stopped: bool = False
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
@@ -401,6 +402,7 @@
     def stop(self) -> None:
         """End the tasks of all connections."""
         with self._lock:
+            self._stopped = True
             connections = tuple(self._connections)
             self._idle_by_address.clear()
         for connection in connections:
@@ -418,8 +420,10 @@
         if self._give_to_idle(address, exchange, fresh):
             return
         connection = PooledConnection(address, self)
-        with self._lock:
-            self._connections.add(connection)
+        if not self._remember(connection):
+            error = ConnectFailedError("stopped", step=self.step, peer=address)
+            exchange.fail(error, ended=True)
+            return
         try:
             self._tasks.submit(self.kind, connection.serve)
         except Exception:
@@ -450,6 +454,12 @@
             self._remove_idle(connection)
             self._connections.discard(connection)
 
+    def _remember(self, connection: PooledConnection) -> bool:
+        with self._lock:
+            if not self._stopped:
+                self._connections.add(connection)
+            return not self._stopped
+
     def _remove_idle(self, connection: PooledConnection) -> bool:
         idle = self._idle_by_address.get(connection.address, [])
         if connection not in idle:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dotterelpier.clients.backends import make_backends
 from dotterelpier.clients.relays import make_relays
 from dotterelpier.errors import (
     AnswerLostError,
@@ -181,3 +182,23 @@
     with pytest.raises(error):
         relays.relay(member, attempt()).answer.result(ANSWER_WAIT_S)
     server.close()
+
+
+def test_stopped_pool_opens_no_connection() -> None:
+    kernel = make_kernel()
+    kernel.register(ServiceName.CLOCK, make_clock())
+    kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
+    kernel.register(ServiceName.TIMER, make_timer(kernel))
+    stopped = make_backends(kernel, LimitSettings())
+    kernel.register(ServiceName.BACKENDS, stopped)
+    kernel.start()
+    server = ScriptedServer(right)
+    first = stopped.send(target(server.address), attempt())
+    assert first.answer.result(ANSWER_WAIT_S).status == 200
+    stopped.stop()
+    second = stopped.send(target(server.address), attempt())
+    with pytest.raises(ConnectFailedError):
+        second.answer.result(ANSWER_WAIT_S)
+    assert len(server.received) == 1
+    kernel.stop()
+    server.close()
