--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -28,6 +28,13 @@
 __all__ = ["backends"]
 
 
+class NobodyWaits:
+    """Admission of an entry where no call waits."""
+
+    def waiting(self, service: str) -> int:
+        return 0
+
+
 @pytest.fixture(scope="module")
 def relays():
     kernel = make_kernel()
@@ -35,6 +42,7 @@
     kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
     kernel.register(ServiceName.TIMER, make_timer(kernel))
     kernel.register(ServiceName.ROUTING, None)
+    kernel.register(ServiceName.ADMISSION, NobodyWaits())
     made = make_relays(kernel, LimitSettings(), "entry-1")
     kernel.register(ServiceName.RELAYS, made)
     kernel.start()
