--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -80,7 +80,7 @@
 ) -> None:
     membership.leaving_ids.add("a")
     membership.hear("a", ServiceLoad(waiting=1))
-    assert routing.take_waiting_peer(SERVICE).id == "a"
+    assert routing.waiting_peer(SERVICE).id == "a"
 
 
 def test_excluded_and_leaving_peers_are_not_chosen(membership, routing) -> None:
