--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -10,6 +10,7 @@
 from waitress.task import WSGITask
 
 from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.errors import SettingsError
 from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.protocols import TaskKind, Tasks
 
@@ -64,9 +65,25 @@
     _socket_map: dict[int, Any] = field(factory=dict)
 
     def start(self) -> None:
-        """Listen, and start the task that serves."""
+        """Listen, and start the task that serves.
+
+        Raises
+        ------
+        SettingsError
+            If the address cannot be listened on.
+        """
+        try:
+            self._server = self._listen()
+        except OSError as error:
+            raise SettingsError(
+                error.strerror or str(error), step="http.listen", peer=self._address
+            ) from None
+        self._server.channel_class = EntryChannel
+        self._tasks.submit(TaskKind.FRONTEND, self._server.run)
+
+    def _listen(self) -> Any:
         parsed = parse_address(self._address)
-        self._server = create_server(
+        return create_server(
             self._application,
             map=self._socket_map,
             host=parsed.host,
@@ -86,8 +103,6 @@
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
         )
-        self._server.channel_class = EntryChannel
-        self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
     def close_after_answers(self) -> None:
         """Close each connection after its next answer, and say so in the answer."""
