--- /dev/null
+++ b/dotterelpier/protocols/__init__.py
@@ -0,0 +1,80 @@
+"""Protocols by which services use each other.
+
+Services register with the kernel under the names in ``ServiceName`` and are found
+there, typed by these protocols; no service imports the module of another.
+"""
+
+from dotterelpier.protocols.admission import (
+    Admission,
+    Evidence,
+    Policy,
+    ProbeGate,
+    ServerPolicy,
+)
+from dotterelpier.protocols.call_path import (
+    Backends,
+    Calls,
+    Claims,
+    Directory,
+    Exchange,
+    Pulling,
+    Relays,
+    Routing,
+)
+from dotterelpier.protocols.control import (
+    Drain,
+    Homes,
+    ManifestKeeper,
+    Membership,
+    Peers,
+    Status,
+    StoppableFrontend,
+)
+from dotterelpier.protocols.foundations import (
+    Audit,
+    Cancellable,
+    Clock,
+    Metrics,
+    Objects,
+    Subscription,
+    Table,
+    Tasks,
+    Timer,
+    Vms,
+)
+from dotterelpier.protocols.names import ServiceName, TaskKind
+
+__all__ = [
+    "Admission",
+    "Audit",
+    "Backends",
+    "Calls",
+    "Cancellable",
+    "Claims",
+    "Clock",
+    "Directory",
+    "Drain",
+    "Evidence",
+    "Exchange",
+    "Homes",
+    "ManifestKeeper",
+    "Membership",
+    "Metrics",
+    "Objects",
+    "Peers",
+    "Policy",
+    "ProbeGate",
+    "Pulling",
+    "Relays",
+    "Routing",
+    "ServerPolicy",
+    "ServiceName",
+    "Status",
+    "StoppableFrontend",
+    "Subscription",
+    "Table",
+    "TaskKind",
+    "Tasks",
+    "Timer",
+    "Vms",
+]
