A backend server that fails fast no longer draws calls to itself

Cause: a server that resets each request at once always has a slot free, and its health page goes on to say ready, so after each probe it was fit again and got the next call; one in three servers doing so took calls until the retry budget was spent. Ruled out: the cold limit (it is one, but a slot held for a millisecond is free again), evidence from answers (there are none). Red before the change: a server whose health is good and that resets all requests got 100 requests in one second, 1000 in ten, 10000 in a hundred (tests/test_readiness.py). After: at most 3, 7 and 19. Conclusion: requests lost one after another put new work off for a time that doubles from 0.5 s to 8 s; those in flight together count once.

--- a/dotterelpier/services/readiness.py
+++ b/dotterelpier/services/readiness.py
@@ -1,6 +1,6 @@
 """What the evidence about one backend server says."""
 
-from attrs import define
+from attrs import define, field
 
 from dotterelpier.model.evidence import (
     ExchangeResult,
@@ -14,6 +14,8 @@
 CONNECTION_AGE_S = 2.5
 LEAVING_HOLD_S = 10.0
 MAX_LEAVING_HOLD_S = 320.0
+FAILURE_HOLD_S = 0.5
+MAX_FAILURE_HOLD_S = 8.0
 
 
 @define
@@ -25,6 +27,33 @@
     hold_s: float = LEAVING_HOLD_S
 
 
+@define
+class _Failures:
+    """Requests lost one after another, without an answer in between.
+
+    Those that were in flight together count once. From the second one on the server
+    gets no new work for a time that doubles, so that a server that fails fast does
+    not draw the calls of a service to itself by its free slots.
+    """
+
+    count: int = 0
+    _failed_at: float = float("-inf")
+
+    def learn(self, started_at: float, at: float) -> None:
+        """Take in a lost request."""
+        if started_at >= self._failed_at:
+            self.count += 1
+            self._failed_at = at
+
+    def hold(self, now: float) -> bool:
+        """Tell whether the server gets no new work now."""
+        if self.count < 2:
+            return False
+        doublings = min(self.count - 2, 10)
+        hold_s = min(FAILURE_HOLD_S * 2.0**doublings, MAX_FAILURE_HOLD_S)
+        return now - self._failed_at < hold_s
+
+
 @define
 class ServerReadiness:
     """Whether a backend server is known to be there, neither leaving nor refusing.
@@ -41,6 +70,7 @@
     _boot_id: str = ""
     _leaving: _LeavingSign | None = None
     _ended_leaving: _LeavingSign | None = None
+    _failures: _Failures = field(factory=_Failures)
 
     @property
     def leaving(self) -> bool:
@@ -55,7 +85,9 @@
     def is_fit(self, now: float) -> bool:
         """Tell whether the server is fit for new work."""
         fresh = now - self.good_at < MAX_AGE_S
-        return fresh and not self.leaving and not self.refused
+        if not fresh or self.leaving or self.refused:
+            return False
+        return not self._failures.hold(now)
 
     def needs_probe(self, now: float) -> bool:
         """Tell whether evidence is about to be too old.
@@ -74,8 +106,12 @@
             self._refused_at = observation.at
         if observation.report is not None:
             self._learn_report(observation.report, started_at, observation.at)
+        if observation.result is ExchangeResult.RESET and not observation.from_probe:
+            self._failures.learn(started_at, observation.at)
         if observation.result is not ExchangeResult.ANSWERED:
             return
+        if not observation.from_probe:
+            self._failures = _Failures()
         if observation.from_probe and started_at >= self._refused_at:
             self._refused_at = float("-inf")
             self._connected_at = started_at
