--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -1,26 +1,14 @@
 """Replays recorded traces of failures against their stated outcomes."""
 
-import json
-from pathlib import Path
 from typing import Any
 
 import pytest
 
 from tests.members import Cluster
+from tests.trace_files import trace_parameters
 
-TRACES = Path(__file__).resolve().parent / "traces" / "homes.jsonl"
 
-
-def _traces() -> list[Any]:
-    parameters = []
-    for line in TRACES.read_text(encoding="utf-8").splitlines():
-        trace = json.loads(line)
-        mark = pytest.mark.promise(trace["promise"])
-        parameters.append(pytest.param(trace, marks=mark, id=trace["name"]))
-    return parameters
-
-
-@pytest.mark.parametrize("trace", _traces())
+@pytest.mark.parametrize("trace", trace_parameters("homes.jsonl"))
 def test_trace(trace: dict[str, Any]) -> None:
     cluster = Cluster()
     for name, *arguments in trace["steps"]:
