--- a/dotterelpier/cli/commands.py
+++ b/dotterelpier/cli/commands.py
@@ -60,7 +60,7 @@
 
     @_takes_text
     def serve(self, *, settings: str = DEFAULT_SETTINGS) -> Invocation:
-        """Run an entry of a fleet until SIGTERM, then stop it without cutting a request.
+        """Run an entry of a fleet until SIGTERM, without cutting a request then.
 
         Routes and backend servers come from the platform's store. Logs go to standard
         output as JSON lines.
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -125,6 +125,7 @@
             for index, item in enumerate(items)
         ]
 
+    @property
     def keys(self) -> tuple[str, ...]:
         """Return the keys."""
         return tuple(self._value_by_key)
@@ -136,7 +137,7 @@
 
 def _each(fields: _Fields, key: str, read: Callable[[str, _Fields], T]) -> dict[str, T]:
     table = fields.child(key)
-    return {name: read(name, table.child(name)) for name in table.keys()}
+    return {name: read(name, table.child(name)) for name in table.keys}
 
 
 def _route(name: str, fields: _Fields) -> Route:
--- a/scripts/build_binary.py
+++ b/scripts/build_binary.py
@@ -20,8 +20,8 @@
 ENTRY_POINT = "dotterelpier.__main__:main"
 INTERPRETER = "/usr/bin/env python3.11"
 
-# Where the program unpacks itself: memory, as the VMs have no disks.
-UNPACK_FOLDER = "/dev/shm/dotterelpier"
+# Where the program unpacks itself; the VMs keep this folder in memory.
+UNPACK_FOLDER = "/tmp/dotterelpier"
 
 
 def build(file: Path) -> None:
