--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from dotterelpier.model.instance import Instance, LoadFigures
+from dotterelpier.model.instance import HealthReport, Instance, LoadFigures
 
 # From this on a backend server counts as slow; machines shared with others are either
 # near the usual time or at several times it.
@@ -47,6 +47,11 @@
         What it said of itself last.
     unreachable : str
         Why no connection can be opened, empty if one can.
+    own_check_needed : bool
+        Whether this entry itself could not reach it, so that the results of others
+        do not tell whether it can now.
+    checked_at : float
+        When the last health check was sent, by whichever entry.
     cold_until : float
         When it will be warm, on the monotonic clock.
     in_flight : int
@@ -62,6 +67,8 @@
     doubted_at: float = -math.inf
     healthy: bool = True
     unreachable: str = ""
+    own_check_needed: bool = False
+    checked_at: float = -math.inf
     cold_until: float = -math.inf
     in_flight: int = 0
     sent_since: int = 0
@@ -109,6 +116,15 @@
         self.proven = False
         self.doubted_at = now
 
+    def take_report(self, report: HealthReport, now: float) -> None:
+        """Take in the answer to a health check."""
+        self.proven, self.unreachable, self.own_check_needed = True, "", False
+        self.healthy = report.healthy
+        if report.cold_remaining_s > 0:
+            self.cold_until = now + report.cold_remaining_s
+        elif report.healthy:
+            self.cold_until = -math.inf
+
     def take_cold_token(self, now: float, per_s: float) -> bool:
         """Take the right to send one request to it while it is cold."""
         self._refill(now, per_s)
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -11,7 +11,7 @@
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
 from dotterelpier.fleet.ranking import home
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.instance import HealthReport, Instance, LoadFigures
+from dotterelpier.model.instance import Instance, LoadFigures, Measurement
 from dotterelpier.model.route import Route
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import Conditions, Fleet, Registry, Routes
@@ -208,49 +208,82 @@
         for watcher in watchers:
             watcher()
 
-    def note_health(
-        self, instance: Instance, report: HealthReport, sent_at: float
-    ) -> None:
-        """Take in the answer to a health check that was sent at a time."""
-        if report.instance_id and report.instance_id != instance.id:
-            self.note_unreachable(instance.id, f"address of {report.instance_id}")
+    def note_check(self, measurement: Measurement) -> None:
+        """Take in the result of an own health check."""
+        if measurement.unreachable:
+            self.note_unreachable(measurement.instance_id, measurement.unreachable)
+        else:
+            self._take_report(measurement, own=True)
+
+    def note_measurement(self, measurement: Measurement) -> None:
+        """Take in the result of another entry's health check."""
+        if measurement.unreachable:
+            self._take_unreachable(measurement, own=False)
+        else:
+            self._take_report(measurement, own=False)
+
+    def note_unreachable(self, instance_id: str, reason: str) -> None:
+        """Take in that this entry cannot open a connection to a backend server."""
+        now = self._clock.monotonic()
+        measurement = Measurement(instance_id, now, unreachable=reason)
+        self._take_unreachable(measurement, own=True)
+
+    def check_wanted(self, instance_id: str, fresh_s: float) -> bool:
+        """Tell whether no other entry's result within ``fresh_s`` suffices."""
+        with self._changed:
+            condition = self._condition_by_id.get(instance_id)
+            if condition is None or condition.own_check_needed:
+                return True
+            return self._clock.monotonic() - condition.checked_at > fresh_s
+
+    def _take_report(self, measurement: Measurement, *, own: bool) -> None:
+        report = measurement.report
+        if report is None:
             return
         now = self._clock.monotonic()
         with self._changed:
-            condition = self._condition_by_id.get(instance.id)
-            if condition is None or condition.instance.born_ms != instance.born_ms:
+            condition = self._condition_by_id.get(measurement.instance_id)
+            if condition is None or measurement.measured_at < condition.doubted_at:
                 return
-            if sent_at < condition.doubted_at:
+            condition.checked_at = max(condition.checked_at, measurement.measured_at)
+            if condition.own_check_needed and not own:
                 return
-            was = (condition.usable(), condition.healthy, condition.is_cold(now))
-            condition.proven, condition.unreachable = True, ""
-            condition.healthy = report.healthy
-            if report.cold_remaining_s > 0:
-                condition.cold_until = now + report.cold_remaining_s
-            elif report.healthy:
-                condition.cold_until = -math.inf
-            became = (True, condition.healthy, condition.is_cold(now))
+            before = (condition.usable(), condition.healthy, condition.is_cold(now))
+            condition.take_report(report, now)
+            after = (condition.usable(), condition.healthy, condition.is_cold(now))
         if report.load is not None:
-            self._take_load(instance.id, report.load, now)
-        if was != became:
+            at = measurement.measured_at
+            self._take_load(measurement.instance_id, report.load, at)
+        if before != after:
             logger.info(
                 "backend server checked",
-                peer=instance.id,
-                service=instance.service,
-                healthy=became[1],
+                peer=measurement.instance_id,
+                own=own,
+                usable_before=before[0],
+                usable=after[0],
+                healthy=after[1],
                 cold_s=round(report.cold_remaining_s, 3),
-                usable_before=was[0],
             )
 
-    def note_unreachable(self, instance_id: str, reason: str) -> None:
-        """Take in that no connection to a backend server can be opened."""
+    def _take_unreachable(self, measurement: Measurement, *, own: bool) -> None:
         with self._changed:
-            condition = self._condition_by_id.get(instance_id)
-            if condition is None or condition.unreachable:
+            condition = self._condition_by_id.get(measurement.instance_id)
+            if condition is None:
                 return
-            condition.unreachable = reason
+            condition.checked_at = max(condition.checked_at, measurement.measured_at)
+            condition.own_check_needed = condition.own_check_needed or own
+            known, condition.unreachable = (
+                condition.unreachable,
+                measurement.unreachable,
+            )
             condition.doubt(self._clock.monotonic())
-        logger.warning("backend server unreachable", peer=instance_id, reason=reason)
+        if not known:
+            logger.warning(
+                "backend server unreachable",
+                peer=measurement.instance_id,
+                own=own,
+                reason=measurement.unreachable,
+            )
 
     def watch_slowdown(
         self, instance_id: str, listener: Callable[[], None]
--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -13,7 +13,7 @@
 from dotterelpier.protocols.fleet import RowStore, StoreLink, Stores
 
 # The sentinel notices within this time that the store stopped answering.
-SENTINEL_WAIT_S = 2.0
+SENTINEL_WAIT_S = 2.5
 # The store holds a watch for 30 s at most.
 WATCH_WAIT_S = 25.0
 # Pause of the sentinel after a failure.
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -3,29 +3,50 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from dotterelpier.errors import CallError, ConnectFailedError
+from dotterelpier.errors import CallError
+from dotterelpier.fleet.ranking import home
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.instance import Instance
+from dotterelpier.model.instance import Instance, Measurement
 from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import (
     Conditions,
     Fleet,
     HealthConnection,
     Instances,
+    Measurements,
     Registry,
     Routes,
 )
 
 # Work time at a backend server changes several times a second.
-NEAR_INTERVAL_S = 0.15
+HOME_INTERVAL_S = 0.1
+NEAR_INTERVAL_S = 0.25
 # Backend servers of other zones get requests only where the own zone lacks room.
-FAR_INTERVAL_S = 1.0
+FAR_INTERVAL_S = 2.0
 # Share of the agreed health checks that is used, so that entries that come and go
 # together stay below them.
 PROBE_SHARE = 0.6
 CHECK_TIMEOUT_S = 0.5
+# A result of another entry is enough for this long; the home sends several meanwhile.
+FRESH_S = 0.5
+
+
+@frozen
+class Duty:
+    """How often an entry checks a backend server.
+
+    Attributes
+    ----------
+    interval_s : float
+        Pause between two checks, in seconds.
+    home : bool
+        Whether it checks for the other entries of its zone too.
+    """
+
+    interval_s: float
+    home: bool
 
 
 @define(eq=False)
@@ -38,7 +59,8 @@
     _metrics: Metrics
     _routes: Routes
     _conditions: Conditions
-    _interval_s: Callable[[Instance], float]
+    _measurements: Measurements
+    _duty: Callable[[Instance], Duty]
     _stopped: threading.Event = field(factory=threading.Event)
 
     def stop(self) -> None:
@@ -48,28 +70,38 @@
 
     def serve(self) -> None:
         """Check until stopped."""
-        while not self._stopped.wait(self._interval_s(self.instance)):
-            self._check()
-        self._connection.close()
-
-    def _check(self) -> None:
+        while True:
+            duty = self._duty(self.instance)
+            if self._stopped.wait(duty.interval_s):
+                return
+            if duty.home or self._conditions.check_wanted(self.instance.id, FRESH_S):
+                self._check(duty)
+
+    def _check(self, duty: Duty) -> None:
         table = self._routes.table()
         terms = table.terms_by_service.get(self.instance.service) if table else None
         if terms is None:
             return
-        sent_at = self._clock.monotonic()
-        result = "ok"
+        measurement = self._measure(terms.health_path)
+        self._conditions.note_check(measurement)
+        if duty.home:
+            self._measurements.publish(measurement)
+        self._metrics.count(
+            "probes",
+            service=self.instance.service,
+            result="timeout" if measurement.unreachable else "ok",
+        )
+
+    def _measure(self, path: str) -> Measurement:
+        instance_id, sent_at = self.instance.id, self._clock.monotonic()
         try:
-            report = self._connection.check(terms.health_path, CHECK_TIMEOUT_S)
-            self._conditions.note_health(self.instance, report, sent_at)
+            report = self._connection.check(path, CHECK_TIMEOUT_S)
         except CallError as error:
-            result = (
-                "connect_failed"
-                if isinstance(error, ConnectFailedError)
-                else ("timeout")
-            )
-            self._conditions.note_unreachable(self.instance.id, str(error))
-        self._metrics.count("probes", service=self.instance.service, result=result)
+            return Measurement(instance_id, sent_at, unreachable=str(error))
+        if report.instance_id not in ("", instance_id):
+            reason = f"address of {report.instance_id}"
+            return Measurement(instance_id, sent_at, unreachable=reason)
+        return Measurement(instance_id, sent_at, report)
 
 
 @define
@@ -84,6 +116,7 @@
     _fleet: Fleet
     _conditions: Conditions
     _instances: Instances
+    _measurements: Measurements
     _probes_per_s: float
     _probe_by_id: dict[str, InstanceProbe] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
@@ -122,20 +155,24 @@
             self._metrics,
             self._routes,
             self._conditions,
-            self.interval_s,
+            self._measurements,
+            self.duty,
         )
         self._probe_by_id[instance.id] = probe
         self._tasks.submit(TaskKind.MEASURE, probe.serve)
 
-    def interval_s(self, instance: Instance) -> float:
-        """Return the pause between two checks of a backend server."""
-        members = self._fleet.members()
+    def duty(self, instance: Instance) -> Duty:
+        """Return how often this entry checks a backend server."""
+        members, me = self._fleet.members(), self._fleet.me()
         near = sum(member.zone == instance.zone for member in members)
-        # All entries of the zone and all others share what is agreed.
+        # The entries of the zone together, and all others together.
         rate = self._probes_per_s * PROBE_SHARE / 2
-        if instance.zone == self._fleet.me().zone:
-            return max(NEAR_INTERVAL_S, near / rate)
-        return max(FAR_INTERVAL_S, (len(members) - near) / rate)
+        if instance.zone != me.zone:
+            return Duty(max(FAR_INTERVAL_S, (len(members) - near) / rate), home=False)
+        owner = home(instance.id, instance.zone, members)
+        if owner is not None and owner.name == me.name:
+            return Duty(HOME_INTERVAL_S, home=True)
+        return Duty(max(NEAR_INTERVAL_S, near / rate), home=False)
 
 
 def _moved(before: Instance, after: Instance) -> bool:
@@ -153,5 +190,6 @@
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.INSTANCES, Instances),
+        kernel.find(ServiceName.MEASUREMENTS, Measurements),
         probes_per_s,
     )
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -13,6 +13,7 @@
 from dotterelpier.fleet.directory import make_entry_directory
 from dotterelpier.fleet.forwarding import make_forwarding
 from dotterelpier.fleet.liveness import make_liveness
+from dotterelpier.fleet.measurements import make_measurements
 from dotterelpier.fleet.members import make_fleet
 from dotterelpier.fleet.planned_stop import make_planned_stop
 from dotterelpier.fleet.prober import make_prober
@@ -107,7 +108,8 @@
     kernel.register(ServiceName.HEADER_CODEC, make_platform_headers())
     kernel.register(ServiceName.PAGES, make_platform_pages())
     kernel.register(ServiceName.STORE_LINK, make_store_link(kernel))
-    kernel.register(ServiceName.FLEET_PEERS, make_fleet_peers(settings.entry.name))
+    peers = make_fleet_peers(kernel, settings.entry.name)
+    kernel.register(ServiceName.FLEET_PEERS, peers)
     kernel.register(ServiceName.INSTANCES, make_instances(kernel), (timer,))
 
 
@@ -119,8 +121,10 @@
     kernel.register(ServiceName.FLEET, fleet, needs)
     needs = (ServiceName.ROUTES, ServiceName.REGISTRY, ServiceName.FLEET)
     kernel.register(ServiceName.CONDITIONS, make_conditions(kernel), needs)
+    needs = (ServiceName.CONDITIONS,)
+    kernel.register(ServiceName.MEASUREMENTS, make_measurements(kernel), needs)
     prober = make_prober(kernel, settings.bounds.probes_per_s)
-    needs = (ServiceName.CONDITIONS, ServiceName.INSTANCES)
+    needs = (ServiceName.MEASUREMENTS, ServiceName.INSTANCES)
     kernel.register(ServiceName.PROBER, prober, needs)
     kernel.register(ServiceName.LIVENESS, make_liveness(kernel), (ServiceName.FLEET,))
 
--- a/dotterelpier/model/instance.py
+++ b/dotterelpier/model/instance.py
@@ -80,3 +80,25 @@
     healthy: bool
     load: LoadFigures | None = None
     cold_remaining_s: float = 0.0
+
+
+@frozen
+class Measurement:
+    """Result of a health check, as entries share it.
+
+    Attributes
+    ----------
+    instance_id : str
+        Id of the backend server that was checked.
+    measured_at : float
+        When the check was sent, on the monotonic clock of this process.
+    report : HealthReport or None
+        Its answer, None if it did not answer.
+    unreachable : str
+        Why it did not answer, empty if it did.
+    """
+
+    instance_id: str
+    measured_at: float
+    report: HealthReport | None = None
+    unreachable: str = ""
--- a/dotterelpier/protocols/fleet.py
+++ b/dotterelpier/protocols/fleet.py
@@ -1,12 +1,17 @@
 """Protocols of the services of a fleet's entry."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future
 from typing import Protocol
 
 from dotterelpier.model.call import Headers
 from dotterelpier.model.fleet import FleetMember, StoreReply
-from dotterelpier.model.instance import HealthReport, Instance, LoadFigures
+from dotterelpier.model.instance import (
+    HealthReport,
+    Instance,
+    LoadFigures,
+    Measurement,
+)
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
 from dotterelpier.model.route import Route, RouteTable
 
@@ -243,14 +248,20 @@
         """Take in the load that came with an answer."""
         ...
 
-    def note_health(
-        self, instance: Instance, report: HealthReport, sent_at: float
-    ) -> None:
-        """Take in the answer to a health check that was sent at a time."""
+    def note_check(self, measurement: Measurement) -> None:
+        """Take in the result of an own health check."""
+        ...
+
+    def note_measurement(self, measurement: Measurement) -> None:
+        """Take in the result of another entry's health check."""
         ...
 
     def note_unreachable(self, instance_id: str, reason: str) -> None:
-        """Take in that no connection to a backend server can be opened."""
+        """Take in that this entry cannot open a connection to a backend server."""
+        ...
+
+    def check_wanted(self, instance_id: str, fresh_s: float) -> bool:
+        """Tell whether no other entry's result within ``fresh_s`` suffices."""
         ...
 
     def watch_slowdown(
@@ -420,3 +431,25 @@
             If it does not answer, or another incarnation does.
         """
         ...
+
+    def follow(self, member: FleetMember) -> Iterator[Measurement]:
+        """Yield what an entry measures, until the stream breaks.
+
+        Raises
+        ------
+        PeerUnavailableError
+            When it breaks.
+        """
+        ...
+
+
+class Measurements(Protocol):
+    """Shares health checks with the entries of the own zone."""
+
+    def publish(self, measurement: Measurement) -> None:
+        """Send a result to all that follow."""
+        ...
+
+    def stream(self) -> Iterator[tuple[Measurement, ...]]:
+        """Return the results from now on, in batches that may be empty."""
+        ...
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -48,6 +48,7 @@
     CONDITIONS = "conditions"
     INSTANCES = "instances"
     PROBER = "prober"
+    MEASUREMENTS = "measurements"
     RETRY_BUDGET = "retry_budget"
     FORWARDING = "forwarding"
     ENTRY_DIRECTORY = "entry_directory"
