--- a/dotterelpier/clients/fleet_peers.py
+++ b/dotterelpier/clients/fleet_peers.py
@@ -1,19 +1,14 @@
 """Messages to the other entries of a fleet over gRPC."""
 
 import threading
-from collections.abc import Iterator
 
 import grpc
 from attrs import define, field
 
 from dotterelpier.errors import PeerUnavailableError
-from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember
-from dotterelpier.model.instance import Measurement
-from dotterelpier.protocols import Clock, ServiceName
 from dotterelpier.protocols.fleet import FleetPeers
 from dotterelpier.wire import fleet_pb2, fleet_pb2_grpc
-from dotterelpier.wire.fleet import decode_measurements
 
 # A ping passes between zones in a few milliseconds; a busy machine may take longer.
 PING_TIMEOUT_S = 0.7
@@ -22,14 +17,6 @@
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.enable_http_proxy", 0),
 )
-# A stream is silent while nothing is measured; a path that lost track of it shows by
-# unanswered keepalive pings.
-STREAM_OPTIONS = (
-    *CHANNEL_OPTIONS,
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.keepalive_time_ms", 10_000),
-    ("grpc.keepalive_timeout_ms", 2000),
-)
 
 
 @define
@@ -37,7 +24,6 @@
     """Channels to entries, one for each address."""
 
     _own_name: str
-    _clock: Clock
     _channel_by_address: dict[str, grpc.Channel] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
@@ -62,23 +48,9 @@
             # A path that lost track of the connection stays silent on it.
             self._forget(member.peer_address)
             detail = error.details() if isinstance(error, grpc.Call) else str(error)
-            raise _unavailable("peer.ping", member, str(detail)) from None
+            raise _unavailable(member, str(detail)) from None
         if reply.incarnation != member.incarnation:
-            raise _unavailable("peer.ping", member, f"is now {reply.incarnation}")
-
-    def follow(self, member: FleetMember) -> Iterator[Measurement]:
-        """Yield what an entry measures, until the stream breaks."""
-        request = fleet_pb2.FollowRequest(sender=self._own_name)
-        # A channel of its own: a ping that fails closes the shared one.
-        channel = grpc.insecure_channel(member.peer_address, STREAM_OPTIONS)
-        try:
-            for message in fleet_pb2_grpc.FleetPeersStub(channel).Follow(request):
-                yield from decode_measurements(message, self._clock.monotonic())
-        except (grpc.RpcError, ValueError) as error:
-            detail = error.details() if isinstance(error, grpc.Call) else str(error)
-            raise _unavailable("peer.follow", member, str(detail)) from None
-        finally:
-            channel.close()
+            raise _unavailable(member, f"is now {reply.incarnation}")
 
     def _channel(self, address: str) -> grpc.Channel:
         with self._lock:
@@ -95,10 +67,10 @@
             channel.close()
 
 
-def _unavailable(step: str, member: FleetMember, detail: str) -> PeerUnavailableError:
-    return PeerUnavailableError(detail, step=step, peer=member.name)
+def _unavailable(member: FleetMember, detail: str) -> PeerUnavailableError:
+    return PeerUnavailableError(detail, step="peer.ping", peer=member.name)
 
 
-def make_fleet_peers(kernel: Kernel, own_name: str) -> FleetPeers:
+def make_fleet_peers(own_name: str) -> FleetPeers:
     """Return the messages to other entries."""
-    return GrpcFleetPeers(own_name, kernel.find(ServiceName.CLOCK, Clock))
+    return GrpcFleetPeers(own_name)
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from dotterelpier.clients.datagrams import make_datagrams
 from dotterelpier.clients.fleet_peers import make_fleet_peers
 from dotterelpier.clients.instances import make_instances
 from dotterelpier.fleet.conditions import make_conditions
@@ -108,8 +109,9 @@
     kernel.register(ServiceName.HEADER_CODEC, make_platform_headers())
     kernel.register(ServiceName.PAGES, make_platform_pages())
     kernel.register(ServiceName.STORE_LINK, make_store_link(kernel))
-    peers = make_fleet_peers(kernel, settings.entry.name)
-    kernel.register(ServiceName.FLEET_PEERS, peers)
+    kernel.register(ServiceName.FLEET_PEERS, make_fleet_peers(settings.entry.name))
+    datagrams = make_datagrams(kernel, settings.entry.peer_address)
+    kernel.register(ServiceName.DATAGRAMS, datagrams, (tasks,))
     kernel.register(ServiceName.INSTANCES, make_instances(kernel), (timer,))
 
 
@@ -121,7 +123,7 @@
     kernel.register(ServiceName.FLEET, fleet, needs)
     needs = (ServiceName.ROUTES, ServiceName.REGISTRY, ServiceName.FLEET)
     kernel.register(ServiceName.CONDITIONS, make_conditions(kernel), needs)
-    needs = (ServiceName.CONDITIONS,)
+    needs = (ServiceName.CONDITIONS, ServiceName.DATAGRAMS)
     kernel.register(ServiceName.MEASUREMENTS, make_measurements(kernel), needs)
     prober = make_prober(kernel, settings.bounds.probes_per_s)
     needs = (ServiceName.MEASUREMENTS, ServiceName.INSTANCES)
--- a/dotterelpier/frontends/fleet_peers.py
+++ b/dotterelpier/frontends/fleet_peers.py
@@ -1,24 +1,19 @@
 """gRPC front end for the other entries of a fleet."""
 
-import threading
-from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import grpc
-from attrs import define, field
+from attrs import define
 
 from dotterelpier.errors import SettingsError
 from dotterelpier.kernel import Kernel
-from dotterelpier.protocols import Clock, ServiceName
-from dotterelpier.protocols.fleet import Fleet, Measurements
+from dotterelpier.protocols import ServiceName
+from dotterelpier.protocols.fleet import Fleet
 from dotterelpier.wire import fleet_pb2, fleet_pb2_grpc
-from dotterelpier.wire.fleet import encode_measurements
 
-# Streams hold a thread each; one goes to each other entry of the zone.
-MAX_STREAMS = 64
 # Each entry is pinged by a few others once a second.
-PING_THREADS = 4
+THREADS = 4
 STOP_GRACE_S = 0.2
 SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
 
@@ -28,11 +23,6 @@
     """Answers messages of other entries."""
 
     _fleet: Fleet
-    _measurements: Measurements
-    _clock: Clock
-    _streams: threading.Semaphore = field(
-        factory=lambda: threading.Semaphore(MAX_STREAMS)
-    )
 
     def Ping(  # noqa: N802
         self, request: fleet_pb2.PingRequest, context: Any
@@ -41,21 +31,6 @@
         me = self._fleet.me()
         return fleet_pb2.PingReply(name=me.name, incarnation=me.incarnation)
 
-    def Follow(  # noqa: N802
-        self, request: fleet_pb2.FollowRequest, context: Any
-    ) -> Iterator[fleet_pb2.Measurements]:
-        """Stream what this entry measures."""
-        if not self._streams.acquire(blocking=False):
-            context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams")
-        try:
-            for batch in self._measurements.stream():
-                if not context.is_active():
-                    return
-                if batch:
-                    yield encode_measurements(batch, self._clock.monotonic())
-        finally:
-            self._streams.release()
-
 
 @define
 class FleetPeerFrontend:
@@ -73,9 +48,7 @@
         SettingsError
             If the address cannot be listened on.
         """
-        executor = ThreadPoolExecutor(
-            MAX_STREAMS + PING_THREADS, thread_name_prefix="fleet-peer"
-        )
+        executor = ThreadPoolExecutor(THREADS, thread_name_prefix="fleet-peer")
         self._server = grpc.server(executor, options=SERVER_OPTIONS)
         fleet_pb2_grpc.add_FleetPeersServicer_to_server(self._servicer, self._server)
         try:
@@ -94,9 +67,5 @@
 
 def make_fleet_peer_frontend(kernel: Kernel, address: str) -> FleetPeerFrontend:
     """Return the front end for other entries."""
-    servicer = FleetServicer(
-        kernel.find(ServiceName.FLEET, Fleet),
-        kernel.find(ServiceName.MEASUREMENTS, Measurements),
-        kernel.find(ServiceName.CLOCK, Clock),
-    )
+    servicer = FleetServicer(kernel.find(ServiceName.FLEET, Fleet))
     return FleetPeerFrontend(servicer, address)
--- a/dotterelpier/protocols/fleet.py
+++ b/dotterelpier/protocols/fleet.py
@@ -1,6 +1,6 @@
 """Protocols of the services of a fleet's entry."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from typing import Protocol
 
@@ -432,24 +432,22 @@
         """
         ...
 
-    def follow(self, member: FleetMember) -> Iterator[Measurement]:
-        """Yield what an entry measures, until the stream breaks.
-
-        Raises
-        ------
-        PeerUnavailableError
-            When it breaks.
-        """
-        ...
-
 
 class Measurements(Protocol):
     """Shares health checks with the entries of the own zone."""
 
     def publish(self, measurement: Measurement) -> None:
-        """Send a result to all that follow."""
+        """Send a result to the other entries of the zone."""
+        ...
+
+
+class Datagrams(Protocol):
+    """Datagrams between entries; any may be lost."""
+
+    def send(self, address: str, content: bytes) -> None:
+        """Send a datagram."""
         ...
 
-    def stream(self) -> Iterator[tuple[Measurement, ...]]:
-        """Return the results from now on, in batches that may be empty."""
+    def subscribe(self, receiver: Callable[[bytes], None]) -> None:
+        """Give each datagram that comes to a receiver, which must not block."""
         ...
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -48,6 +48,7 @@
     CONDITIONS = "conditions"
     INSTANCES = "instances"
     PROBER = "prober"
+    DATAGRAMS = "datagrams"
     MEASUREMENTS = "measurements"
     RETRY_BUDGET = "retry_budget"
     FORWARDING = "forwarding"
--- a/dotterelpier/wire/fleet.py
+++ b/dotterelpier/wire/fleet.py
@@ -9,19 +9,23 @@
 PERCENT = 100
 
 
-def encode_measurements(
-    measurements: Iterable[Measurement], now: float
-) -> fleet_pb2.Measurements:
+def encode_measurements(measurements: Iterable[Measurement], now: float) -> bytes:
     """Return measurements with their ages, as clocks of machines differ."""
-    return fleet_pb2.Measurements(
+    message = fleet_pb2.Measurements(
         measurements=[_encode(item, now) for item in measurements]
     )
+    return message.SerializeToString()
 
 
-def decode_measurements(
-    message: fleet_pb2.Measurements, now: float
-) -> tuple[Measurement, ...]:
-    """Return measurements on the clock of this process."""
+def decode_measurements(content: bytes, now: float) -> tuple[Measurement, ...]:
+    """Return measurements on the clock of this process.
+
+    Raises
+    ------
+    google.protobuf.message.DecodeError
+        If the content is malformed.
+    """
+    message = fleet_pb2.Measurements.FromString(content)
     return tuple(_decode(item, now) for item in message.measurements)
 
 
