--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -25,6 +25,9 @@
 # to be the home stay near it together.
 COLD_PACE_SHARE = 0.8
 COLD_BURST = 1.0
+# What a cold backend server bears, as a share of a warm one; its declared pace is
+# about a quarter of what its slots serve.
+COLD_CAPACITY_SHARE = 0.25
 
 
 @define(eq=False)
@@ -86,6 +89,11 @@
         """Tell whether it is in its cold start."""
         return now < self.cold_until
 
+    def capacity(self, now: float) -> float:
+        """Return the slots that it can fill at its present warmth."""
+        share = COLD_CAPACITY_SHARE if self.is_cold(now) else 1.0
+        return self.instance.slots * share
+
     def busy(self) -> int:
         """Return the requests estimated to be at it, those of other entries too."""
         if self.load is None:
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -3,7 +3,7 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
 from loguru import logger
@@ -309,6 +309,19 @@
                 return math.inf
             return condition.work_ratio(self._clock.monotonic())
 
+    def capacity_by_zone(self, services: frozenset[str]) -> Mapping[str, float]:
+        """Return the slots that backend servers of services can fill now, by zone."""
+        capacity: dict[str, float] = {}
+        with self._changed:
+            now = self._clock.monotonic()
+            for item in self._condition_by_id.values():
+                if item.instance.service not in services or not item.usable():
+                    continue
+                if item.instance.id not in self._evacuated_ids:
+                    zone = item.instance.zone
+                    capacity[zone] = capacity.get(zone, 0.0) + item.capacity(now)
+        return capacity
+
 
 def _renewed(before: Condition | None, instance: Instance, now: float) -> Condition:
     """Return the condition of a backend server whose row was read again."""
--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -19,7 +19,7 @@
 
 TABLE = "entries"
 # Entries start together, so their rows come in series.
-GATHER_S = 0.5
+GATHER_S = 1.0
 # A budget is divided among all entries known within this time, so that those that
 # went but still run are counted.
 SIZE_WINDOW_S = 15.0
--- a/dotterelpier/fleet/planned_stop.py
+++ b/dotterelpier/fleet/planned_stop.py
@@ -14,7 +14,7 @@
 # the directory meanwhile that this entry leaves.
 LISTEN_SHARE = 0.5
 # Share of the grace by which everything has ended; the rest covers a busy machine.
-END_SHARE = 0.92
+END_SHARE = 0.85
 CHECK_S = 0.05
 
 
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -72,11 +72,15 @@
         """Check until stopped."""
         while True:
             duty = self._duty(self.instance)
-            if self._stopped.wait(duty.interval_s):
+            if self._stopped.wait(self._pause_s(duty)):
                 return
             if duty.home or self._conditions.check_wanted(self.instance.id, FRESH_S):
                 self._check(duty)
 
+    def _pause_s(self, duty: Duty) -> float:
+        """Wait for the next multiple, so that results of a home go out together."""
+        return duty.interval_s - self._clock.monotonic() % duty.interval_s
+
     def _check(self, duty: Duty) -> None:
         table = self._routes.table()
         terms = table.terms_by_service.get(self.instance.service) if table else None
--- a/dotterelpier/fleet/registry.py
+++ b/dotterelpier/fleet/registry.py
@@ -18,7 +18,7 @@
 TABLE = "servers"
 # Changes of the registry in series cost one call; far below the time within which a
 # leaving backend server must get no more work.
-GATHER_S = 0.2
+GATHER_S = 0.5
 # Rows that lapsed while the store was out are back within about two seconds.
 LAPSED_KEPT_S = 2.0
 
--- a/dotterelpier/fleet/store_link.py
+++ b/dotterelpier/fleet/store_link.py
@@ -21,6 +21,7 @@
 
     _clock: Clock
     _reached: bool = False
+    _closed: bool = False
     _regained_at: float = float("-inf")
     _changed: threading.Condition = field(factory=threading.Condition)
     _listeners: list[Callable[[], None]] = field(factory=list)
@@ -52,10 +53,17 @@
         """Return when the store came back last, on the monotonic clock."""
         return self._regained_at
 
+    def close(self) -> None:
+        """Let all that wait for the store go on; it counts as lost from now on."""
+        with self._changed:
+            self._closed = True
+            self._changed.notify_all()
+
     def wait_until_reached(self, timeout_s: float) -> bool:
         """Block until the store is reached; return False if it took too long."""
         with self._changed:
-            return self._changed.wait_for(lambda: self._reached, timeout_s)
+            self._changed.wait_for(lambda: self._reached or self._closed, timeout_s)
+            return self._reached
 
     def subscribe_regained(self, listener: Callable[[], None]) -> None:
         """Call a listener each time the store comes back; it must not block."""
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -37,7 +37,7 @@
 from dotterelpier.platform.pages import make_platform_pages
 from dotterelpier.platform.store import make_row_stores
 from dotterelpier.protocols import ServiceName
-from dotterelpier.protocols.fleet import PlannedStop
+from dotterelpier.protocols.fleet import PlannedStop, StoreLink
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.metrics import make_metrics
 from dotterelpier.services.tasks import make_tasks
@@ -74,6 +74,7 @@
     logger.info("entry started", step="entry", entry=settings.entry.name)
     stop_requested.wait()
     kernel.find(ServiceName.PLANNED_STOP, PlannedStop).run()
+    kernel.find(ServiceName.STORE_LINK, StoreLink).close()
     kernel.stop()
     logger.info("entry stopped", step="entry", entry=settings.entry.name)
 
--- a/dotterelpier/frontends/pages.py
+++ b/dotterelpier/frontends/pages.py
@@ -86,7 +86,9 @@
     pages = kernel.find(ServiceName.PAGES, Pages)
 
     def show(query: str) -> Page:
-        addresses = directory.addresses(pages.zone_of_client(query))
+        addresses = directory.addresses(
+            pages.host_of_client(query), pages.zone_of_client(query)
+        )
         if not addresses:
             return Page(503, JSON_TYPE, b'{"error":"no entry is ready"}')
         body = pages.directory_answer(addresses, directory.answer_age_s())
--- a/dotterelpier/log.py
+++ b/dotterelpier/log.py
@@ -2,9 +2,10 @@
 
 import json
 import logging
+import queue
 import threading
 import time
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Protocol, TextIO
 
 from attrs import define, field
 from loguru import logger
@@ -16,9 +17,23 @@
 MAX_LINES_PER_PLACE = 20
 INTERVAL_S = 1.0
 MAX_VALUE_CHARACTERS = 500
+# About a megabyte of lines of usual length.
+MAX_QUEUED_LINES = 4096
 LIBRARY_LEVEL = logging.WARNING
 
 
+class LineStream(Protocol):
+    """Where lines go."""
+
+    def write(self, line: str, /) -> object:
+        """Write a line."""
+        ...
+
+    def flush(self) -> object:
+        """Pass on what was written."""
+        ...
+
+
 @define
 class _Place:
     """Lines written from one place in the code since an interval began."""
@@ -36,7 +51,7 @@
     the number of those left out, in ``suppressed`` of the next line written.
     """
 
-    _stream: TextIO
+    _stream: LineStream
     _place_by_line: dict[tuple[str, int], _Place] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
@@ -69,6 +84,63 @@
             return suppressed
 
 
+@define
+class QueuedStream:
+    """Writes lines in a thread of its own, so that no task waits for a full pipe.
+
+    Lines that nobody reads in time are left out and counted in a line of their own.
+    """
+
+    _stream: TextIO
+    _lines: "queue.Queue[str | None]" = field(
+        factory=lambda: queue.Queue(MAX_QUEUED_LINES)
+    )
+    dropped: int = 0
+
+    def start(self) -> None:
+        """Start the thread; it ends with the process."""
+        threading.Thread(target=self._serve, name="log", daemon=True).start()
+
+    def write(self, line: str) -> None:
+        """Add a line unless too many wait."""
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            self.dropped += 1
+
+    def flush(self) -> None:
+        """Do nothing; the thread flushes."""
+
+    def close(self, timeout_s: float) -> None:
+        """Write what waits, for at most ``timeout_s`` seconds."""
+        ended = threading.Event()
+        threading.Thread(target=self._finish, args=(ended,), daemon=True).start()
+        ended.wait(timeout_s)
+
+    def _finish(self, ended: threading.Event) -> None:
+        self._lines.join()
+        ended.set()
+
+    def _serve(self) -> None:
+        reported = 0
+        while True:
+            line = self._lines.get()
+            dropped = self.dropped
+            try:
+                if dropped > reported:
+                    lost = {"message": "log lines dropped", "count": dropped - reported}
+                    self._stream.write(json.dumps(lost) + "\n")
+                    reported = dropped
+                self._stream.write(line or "")
+                if self._lines.empty():
+                    self._stream.flush()
+            except (OSError, ValueError):
+                # The reader of the output went away; there is nobody to tell.
+                self.dropped += 1
+            finally:
+                self._lines.task_done()
+
+
 class LibraryHandler(logging.Handler):
     """Passes records of libraries on, so that they become JSON lines too."""
 
@@ -79,14 +151,14 @@
         )
 
 
-def configure_log(level: str, stream: TextIO) -> None:
+def configure_log(level: str, stream: LineStream) -> None:
     """Write records of this level and above to a stream.
 
     Parameters
     ----------
     level : str
         Lowest level written, such as ``"INFO"``.
-    stream : text file
+    stream : LineStream
         Where lines go.
     """
     logger.remove()
--- a/dotterelpier/platform/pages.py
+++ b/dotterelpier/platform/pages.py
@@ -13,8 +13,12 @@
     readiness_path = READINESS_PATH
     directory_path = DIRECTORY_PATH
 
+    def host_of_client(self, query: str) -> str:
+        """Return the host that a client asks for, empty if it names none."""
+        return parse_qs(query).get("name", [""])[0].lower()
+
     def zone_of_client(self, query: str) -> str:
-        """Return the zone that a client of the directory names, empty if none."""
+        """Return the zone that a client names, empty if it names none."""
         return parse_qs(query).get("zone", [""])[0]
 
     def directory_answer(self, addresses: tuple[str, ...], age_s: float) -> bytes:
--- a/dotterelpier/protocols/fleet.py
+++ b/dotterelpier/protocols/fleet.py
@@ -158,6 +158,10 @@
         """Return when the store came back last, on the monotonic clock."""
         ...
 
+    def close(self) -> None:
+        """Let all that wait for the store go on; it counts as lost from now on."""
+        ...
+
     def wait_until_reached(self, timeout_s: float) -> bool:
         """Block until the store is reached; return False if it took too long."""
         ...
@@ -274,6 +278,10 @@
         """Return the last known work ratio of a backend server."""
         ...
 
+    def capacity_by_zone(self, services: frozenset[str]) -> Mapping[str, float]:
+        """Return the slots that backend servers of services can fill now, by zone."""
+        ...
+
 
 class Choice(Protocol):
     """A backend server chosen for a request, and what decided it."""
@@ -383,8 +391,8 @@
 class EntryDirectory(Protocol):
     """Tells clients which entries to use."""
 
-    def addresses(self, zone: str) -> tuple[str, ...]:
-        """Return addresses of entries for a client in a zone."""
+    def addresses(self, host: str, zone: str) -> tuple[str, ...]:
+        """Return addresses of entries for a client in a zone that asks for a host."""
         ...
 
     def answer_age_s(self) -> float:
@@ -398,8 +406,12 @@
     readiness_path: str
     directory_path: str
 
+    def host_of_client(self, query: str) -> str:
+        """Return the host that a client asks for, empty if it names none."""
+        ...
+
     def zone_of_client(self, query: str) -> str:
-        """Return the zone that a client of the directory names, empty if none."""
+        """Return the zone that a client names, empty if it names none."""
         ...
 
     def directory_answer(self, addresses: tuple[str, ...], age_s: float) -> bytes:
--- /dev/null
+++ b/tests/fleet_system.py
@@ -0,0 +1,206 @@
+"""A fleet's entry in this process, with stand-ins for the store and the servers."""
+
+import itertools
+import socket
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import define, field
+
+from dotterelpier.fleet_entry import make_fleet_entry
+from dotterelpier.fleet_settings import (
+    BoundSettings,
+    FleetEntrySettings,
+    FleetSettings,
+    StoreSettings,
+)
+from dotterelpier.kernel import Kernel
+from tests.scripted_server import ReceivedRequest, ScriptedServer
+from tests.standins.row_store import RowStoreState, start_row_store
+from tests.utils import Reply, request, wait_until
+
+HOST = "shop.example"
+ID = "X-Dotterelpier-Attempt-Id"
+SIGNATURE = "X-Dotterelpier-Server-Signature"
+NOT_RUN = "X-Dotterelpier-Not-Executed: 1"
+ZONE = "zone-a"
+
+
+def free_address() -> str:
+    """Return an address of this machine that nothing listens on."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def attempt_of(request: ReceivedRequest) -> str:
+    """Return the id of the client's request."""
+    return request.headers[ID.lower()]
+
+
+def answer(
+    request: ReceivedRequest, body: bytes, *lines: str, status: str = "200 OK"
+) -> bytes:
+    """Return a whole answer with signature."""
+    first = (
+        f"HTTP/1.1 {status}",
+        f"{ID}: {attempt_of(request)}",
+        f"{SIGNATURE}: signed",
+        f"Content-Length: {len(body)}",
+        *lines,
+    )
+    return "\r\n".join((*first, "", "")).encode() + body
+
+
+def refusal(status: str = "503 Service Unavailable", *lines: str) -> bytes:
+    """Return the refusal of a request that was not run."""
+    return "\r\n".join(
+        (f"HTTP/1.1 {status}", NOT_RUN, "Content-Length: 0", *lines, "", "")
+    ).encode()
+
+
+@define(eq=False)
+class ScriptedInstance:
+    """A backend server that registers itself; its health checks succeed."""
+
+    id: str
+    service: str
+    script: Any
+    zone: str = ZONE
+    load: str = "0,0,4,100"
+    cold_ms: int = 0
+    runs: list[ReceivedRequest] = field(factory=list)
+    server: ScriptedServer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.server = ScriptedServer(self._answer)
+
+    def _answer(self, received: ReceivedRequest) -> Iterable[bytes]:
+        if received.target == "/health":
+            lines = [
+                "HTTP/1.1 200 OK",
+                f"X-Dotterelpier-Instance-Id: {self.id}",
+                f"X-Dotterelpier-Server-Load: {self.load}",
+                "Content-Length: 0",
+            ]
+            if self.cold_ms:
+                lines.append(f"X-Dotterelpier-Cold-Remaining-Ms: {self.cold_ms}")
+            return ["\r\n".join((*lines, "", "")).encode()]
+        expected = received.headers["x-dotterelpier-expected-instance"]
+        if expected != self.id:
+            return [refusal("421 Misdirected Request")]
+        self.runs.append(received)
+        return self.script(received)
+
+    def row(self, state: str = "ready") -> dict[str, Any]:
+        """Return what it writes to the registry."""
+        return {
+            "address": self.server.address,
+            "serverInfo": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": 4,
+            },
+            "status": {
+                "state": state,
+                "sequence": 1,
+                "coldRemainingMs": self.cold_ms,
+            },
+            "born": 1,
+        }
+
+
+def route(prefix: str, service: str, **options: Any) -> dict[str, Any]:
+    """Return a route as operators write it."""
+    return {
+        "hostname": HOST,
+        "prefix": prefix,
+        "kind": "idempotent",
+        "timeoutMs": 2000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "maxAttempts": 2,
+        "service": service,
+        **options,
+    }
+
+
+def service(**options: Any) -> dict[str, Any]:
+    """Return a service as operators write it."""
+    return {
+        "healthCheckPath": "/health",
+        "maxConnections": 100,
+        "protocol": "h1",
+        "tls": False,
+        "warmupS": 3.0,
+        "warmupPerS": 5.0,
+        **options,
+    }
+
+
+def config(version: int, routes: dict[str, Any], *services: str) -> dict[str, Any]:
+    """Return a configuration as operators write it."""
+    return {
+        "version": f"{version:08x}",
+        "routes": routes,
+        "services": {name: service() for name in services},
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1 << 20,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+@define(eq=False)
+class FleetSystem:
+    """An entry, its store and backend servers."""
+
+    store: RowStoreState
+    settings: FleetSettings
+    kernel: Kernel
+    _ids: "itertools.count[int]" = field(factory=itertools.count)
+
+    def apply(self, version: int, routes: dict[str, Any], *services: str) -> None:
+        """Write a configuration."""
+        self.store.put_json("op", "config", config(version, routes, *services))
+
+    def register(self, *instances: ScriptedInstance) -> None:
+        """Write the rows of backend servers."""
+        for instance in instances:
+            self.store.put_json("servers", instance.id, instance.row())
+
+    def send(
+        self,
+        target: str,
+        method: str = "GET",
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Reply:
+        """Send a request as a client does."""
+        own = {
+            "Host": HOST,
+            ID: f"try-{next(self._ids)}",
+            "X-Dotterelpier-Deadline-Ms": "3000",
+        }
+        own.update({name.replace("_", "-"): item for name, item in headers.items()})
+        return request(self.settings.entry.caller_address, method, target, body, own)
+
+    def wait_until_served(self, target: str) -> None:
+        """Wait until a request on a path is answered."""
+        wait_until(lambda: self.send(target).status == 200, f"{target} is served")
+
+    def stop(self) -> None:
+        """Stop the entry."""
+        self.kernel.stop()
+
+
+def start_fleet_system(**bounds: Any) -> FleetSystem:
+    """Start an entry whose store is empty."""
+    address, state = start_row_store()
+    entry = FleetEntrySettings("entry-1", ZONE, *(free_address() for _ in range(5)))
+    settings = FleetSettings(entry, StoreSettings(address), BoundSettings(**bounds))
+    kernel = make_fleet_entry(settings)
+    kernel.start()
+    return FleetSystem(state, settings, kernel)
--- /dev/null
+++ b/tests/standins/row_store.py
@@ -0,0 +1,146 @@
+"""Stand-in for the platform's store of rows: reads, transactions, watches.
+
+Faults are switched on its state: ``outage`` answers 503, ``history`` limits the changes
+that watches can ask for.
+"""
+
+import base64
+import json
+import threading
+import time
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define, field
+
+from tests.standins.http_handler import StandInHandler, StandInServer
+
+PAGE_ROWS = 3
+
+
+@define
+class RowStoreState:
+    """All rows, their changes, and switches."""
+
+    rows: dict[tuple[str, str], tuple[bytes, int]] = field(factory=dict)
+    changes: list[tuple[str, str, bytes | None, int]] = field(factory=list)
+    version: int = 0
+    oldest: int = 0
+    outage: bool = False
+    calls: list[str] = field(factory=list)
+    changed: threading.Condition = field(factory=threading.Condition)
+
+    def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Write or delete a row as the operator or a backend server does."""
+        with self.changed:
+            self.version += 1
+            if value is None:
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[table, key] = (value, self.version)
+            self.changes.append((table, key, value, self.version))
+            self.changed.notify_all()
+            return self.version
+
+    def put_json(self, table: str, key: str, value: Any) -> int:
+        """Write a row with JSON."""
+        return self.put(table, key, json.dumps(value).encode())
+
+    def forget_history(self) -> None:
+        """Drop all changes up to now."""
+        with self.changed:
+            self.oldest = self.version
+            self.changes.clear()
+
+    def keys(self, table: str) -> set[str]:
+        """Return the keys of a table."""
+        return {key for name, key in self.rows if name == table}
+
+
+def _encoded(table: str, key: str, value: bytes | None, version: int) -> dict[str, Any]:
+    row: dict[str, Any] = {"table": table, "part": "", "key": key, "ver": version}
+    if value is None:
+        row["tombstone"] = True
+    else:
+        row["value"] = base64.b64encode(value).decode()
+    return row
+
+
+def make_handler(state: RowStoreState) -> type[StandInHandler]:
+    """Return a handler class bound to a state."""
+
+    class Handler(StandInHandler):
+        def do_GET(self) -> None:  # noqa: N802
+            parts = urlsplit(self.path)
+            query = {key: item[0] for key, item in parse_qs(parts.query).items()}
+            state.calls.append(f"{parts.path} {query.get('table')}")
+            if state.outage:
+                self.answer_json(503, {"error": "outage"})
+            elif parts.path == "/rows-get":
+                self._read(query)
+            else:
+                self._watch(query)
+
+        def do_POST(self) -> None:  # noqa: N802
+            body = json.loads(self.read_body())
+            state.calls.append("/rows-tx")
+            if state.outage:
+                self.answer_json(503, {"error": "outage"})
+                return
+            for row in body["expect"]:
+                current = state.rows.get((row["table"], row["key"]), (b"", 0))
+                if current[1] != row["ver"]:
+                    self.answer_json(412, {"rows": []})
+                    return
+            for row in body["writes"]:
+                state.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            for row in body["deletes"]:
+                state.put(row["table"], row["key"], None)
+            self.answer_json(200, {"ver": state.version, "nowMs": 0})
+
+        def _read(self, query: dict[str, str]) -> None:
+            with state.changed:
+                rows = [
+                    _encoded(table, key, value, version)
+                    for (table, key), (value, version) in sorted(state.rows.items())
+                    if table == query["table"] and key >= query.get("from", "")
+                ]
+                reply = {
+                    "rows": rows[:PAGE_ROWS],
+                    "hasMore": len(rows) > PAGE_ROWS,
+                    "ver": state.version,
+                    "nowMs": 0,
+                }
+            self.answer_json(200, reply)
+
+        def _watch(self, query: dict[str, str]) -> None:
+            after = int(query["after"])
+            until = time.monotonic() + int(query["waitMs"]) / 1000
+            with state.changed:
+                while True:
+                    if after < state.oldest:
+                        break
+                    rows = [
+                        _encoded(*change)
+                        for change in state.changes
+                        if change[0] == query["table"] and change[3] > after
+                    ]
+                    remaining_s = until - time.monotonic()
+                    if rows or remaining_s <= 0:
+                        break
+                    state.changed.wait(remaining_s)
+                lost, version = after < state.oldest, state.version
+            if lost:
+                self.answer_json(410, {"error": "history"})
+            else:
+                self.answer_json(200, {"rows": rows, "ver": version, "nowMs": 0})
+
+    return Handler
+
+
+def start_row_store(host: str = "127.0.0.1") -> tuple[str, RowStoreState]:
+    """Serve in a thread; return the address and the state."""
+    state = RowStoreState()
+    server = StandInServer((host, 0), make_handler(state))
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return f"{host}:{server.server_address[1]}", state
--- /dev/null
+++ b/tests/test_fleet_requests.py
@@ -0,0 +1,284 @@
+"""Requests through a fleet's entry, from the socket of a client to a server's."""
+
+import http.client
+import json
+import threading
+import time
+
+import pytest
+
+from tests.fleet_system import (
+    HOST,
+    ID,
+    ScriptedInstance,
+    answer,
+    refusal,
+    route,
+    start_fleet_system,
+)
+from tests.utils import request, wait_until
+
+
+@pytest.fixture
+def system():
+    system = start_fleet_system(retry_slack=50.0)
+    yield system
+    system.stop()
+
+
+def served(system, *instances, **options):
+    """Register servers of one service and wait until they are used."""
+    system.apply(1, {"r": route("/a/", "svc", **options)}, "svc")
+    system.register(*instances)
+    wait_until(lambda: all_usable(system, instances), "servers are usable")
+
+
+def all_usable(system, instances) -> bool:
+    from dotterelpier.protocols import ServiceName
+    from dotterelpier.protocols.fleet import Conditions
+
+    conditions = system.kernel.find(ServiceName.CONDITIONS, Conditions)
+    capacity = conditions.capacity_by_zone(frozenset({"svc"}))
+    return sum(capacity.values()) >= 4 * len(instances)
+
+
+def whole(received):
+    return [answer(received, b"answer to " + received.target.encode())]
+
+
+def test_answer_is_passed_on_whole(system) -> None:
+    instance = ScriptedInstance("i-1", "svc", whole)
+    served(system, instance)
+    reply = system.send("/a/x?q=1", "POST", b"body")
+    assert (reply.status, reply.body) == (200, b"answer to /a/x?q=1")
+    (received,) = instance.runs
+    assert (received.method, received.body) == ("POST", b"body")
+    assert received.headers["host"] == HOST
+    assert 0 < int(received.headers["x-dotterelpier-deadline-ms"]) <= 2000
+
+
+def test_no_configuration_is_not_run_and_no_route_is_not_found(system) -> None:
+    reply = system.send("/a/x")
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert float(reply.headers["Retry-After"]) > 0
+    served(system, ScriptedInstance("i-1", "svc", whole))
+    assert system.send("/b/x").status == 404
+    assert system.send("/a/x", Host="other.example").status == 404
+
+
+def test_lost_answer_is_sent_for_again_only_if_idempotent(system) -> None:
+    losing = ScriptedInstance("i-1", "svc", lambda received: [b""])
+    served(system, losing, ScriptedInstance("i-2", "svc", whole))
+    for _ in range(6):
+        assert system.send("/a/x").status == 200
+
+
+def test_lost_answer_of_a_non_idempotent_request_is_unknown(system) -> None:
+    first = ScriptedInstance("i-1", "svc", lambda received: [b""])
+    second = ScriptedInstance("i-2", "svc", lambda received: [b""])
+    served(system, first, second, kind="non_idempotent")
+    reply = system.send("/a/x", "POST", b"body")
+    assert (reply.status, reply.outcome) == (502, "unknown")
+    assert len(first.runs) + len(second.runs) == 1
+
+
+def test_refusal_is_tried_elsewhere_and_then_told_as_not_run(system) -> None:
+    refusing = [
+        ScriptedInstance(f"i-{number}", "svc", lambda received: [refusal()])
+        for number in range(3)
+    ]
+    served(system, *refusing, kind="non_idempotent")
+    reply = system.send("/a/x", "POST", b"body")
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert sum(len(item.runs) for item in refusing) == 2
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_promising_status_without_the_statement_is_unknown(system, status) -> None:
+    instance = ScriptedInstance(
+        "i-1",
+        "svc",
+        lambda received: [answer(received, b"", status=f"{status} X")],
+    )
+    served(system, instance, kind="non_idempotent")
+    reply = system.send("/a/x", "POST", b"body")
+    if status == 421:
+        assert reply.status == 503
+    else:
+        assert (reply.status, reply.outcome) == (502, "unknown")
+    assert "X-Dotterelpier-Server-Signature" not in reply.headers
+
+
+def test_failure_of_the_server_is_passed_on_unchanged(system) -> None:
+    instance = ScriptedInstance(
+        "i-1", "svc", lambda received: [answer(received, b"no", status="500 X")]
+    )
+    served(system, instance, kind="non_idempotent")
+    reply = system.send("/a/x", "POST", b"body")
+    assert (reply.status, reply.body) == (500, b"no")
+    assert reply.headers["X-Dotterelpier-Server-Signature"] == "signed"
+
+
+def test_answer_cut_short_never_looks_complete(system) -> None:
+    cut = ScriptedInstance(
+        "i-1", "svc", lambda received: [answer(received, b"12345678")[:-3], b""]
+    )
+    served(system, cut, kind="non_idempotent")
+    assert system.send("/a/x", "POST", b"body").status == 502
+
+
+def test_answer_without_length_ends_with_its_connection(system) -> None:
+    def open_ended(received):
+        lines = (f"{ID}: {received.headers[ID.lower()]}", "X-Dotterelpier-Server-Sig")
+        head = f"HTTP/1.1 200 OK\r\n{lines[0]}\r\n{lines[1]}nature: s\r\n\r\n"
+        return [head.encode() + b"to the end", b""]
+
+    served(system, ScriptedInstance("i-1", "svc", open_ended))
+    assert system.send("/a/x").body == b"to the end"
+
+
+def test_extra_answer_belongs_to_no_request(system) -> None:
+    instance = ScriptedInstance(
+        "i-1",
+        "svc",
+        lambda received: [answer(received, b"own"), answer(received, b"extra")],
+    )
+    served(system, instance)
+    for _ in range(5):
+        assert system.send("/a/x").body == b"own"
+
+
+def test_late_answer_of_an_earlier_request_is_skipped(system) -> None:
+    earlier = []
+
+    def late(received):
+        pieces = [answer(item, b"late") for item in earlier[-1:]]
+        earlier.append(received)
+        return [*pieces, answer(received, received.target.encode())]
+
+    served(system, ScriptedInstance("i-1", "svc", late))
+    for number in range(4):
+        assert system.send(f"/a/{number}").body == f"/a/{number}".encode()
+
+
+def test_time_out_of_the_route_is_answered_at_once(system) -> None:
+    stuck = threading.Event()
+
+    def hang(received):
+        stuck.wait(5.0)
+        return [b""]
+
+    instance = ScriptedInstance("i-1", "svc", hang)
+    served(system, instance, kind="non_idempotent", timeoutMs=300)
+    began = time.monotonic()
+    reply = system.send("/a/x", "POST", b"body")
+    assert (reply.status, reply.outcome) == (504, "unknown")
+    assert time.monotonic() - began < 2.0
+    stuck.set()
+
+
+def test_client_that_leaves_ends_the_work(system) -> None:
+    started, ended = threading.Event(), threading.Event()
+
+    def work(received):
+        started.set()
+        ended.wait(5.0)
+        return [answer(received, b"late")]
+
+    instance = ScriptedInstance("i-1", "svc", work)
+    served(system, instance, kind="non_idempotent", timeoutMs=5000)
+    address = system.settings.entry.caller_address
+    connection = http.client.HTTPConnection(*address.split(":"))
+    connection.request("POST", "/a/x", b"", {"Host": HOST, ID: "leaves"})
+    assert started.wait(5.0)
+    closed_before = instance.server.closed
+    connection.close()
+    ended.set()
+    # The stand-in notices the closed connection when it writes its answer.
+    assert closed_before.acquire(timeout=5.0)
+
+
+def test_draining_and_removed_servers_get_nothing(system) -> None:
+    leaving = ScriptedInstance("i-1", "svc", whole)
+    staying = ScriptedInstance("i-2", "svc", whole)
+    served(system, leaving, staying)
+    system.store.put_json("servers", "i-1", leaving.row("draining"))
+    time.sleep(1.0)
+    before = len(leaving.runs)
+    for _ in range(20):
+        assert system.send("/a/x").status == 200
+    assert len(leaving.runs) == before
+
+
+def test_evacuated_zone_gets_nothing_until_it_is_back(system) -> None:
+    out = ScriptedInstance("i-1", "svc", whole, zone="zone-b")
+    served(system, out)
+    system.store.put_json("op", "evacuate/zone-b", {})
+    wait_until(lambda: system.send("/a/x").status == 503, "the zone is out")
+    runs = len(out.runs)
+    assert system.send("/a/x").status == 503
+    assert len(out.runs) == runs
+    system.store.put("op", "evacuate/zone-b", None)
+    system.wait_until_served("/a/x")
+
+
+def test_cold_server_is_paced(system) -> None:
+    cold = ScriptedInstance("i-1", "svc", whole, cold_ms=60_000)
+    system.apply(1, {"r": route("/a/", "svc")}, "svc")
+    system.register(cold)
+    wait_until(lambda: system.send("/a/x").status == 200, "the cold server serves")
+    began, before = time.monotonic(), len(cold.runs)
+    while time.monotonic() - began < 1.0:
+        system.send("/a/x")
+    assert len(cold.runs) - before <= 5
+
+
+def test_older_configuration_never_comes_back(system) -> None:
+    served(system, ScriptedInstance("i-1", "svc", whole))
+    system.apply(3, {"r": route("/c/", "svc")}, "svc")
+    system.wait_until_served("/c/x")
+    system.apply(2, {"r": route("/a/", "svc")}, "svc")
+    time.sleep(0.3)
+    assert (system.send("/c/x").status, system.send("/a/x").status) == (200, 404)
+
+
+def test_broken_rows_leave_the_others_in_force(system) -> None:
+    served(system, ScriptedInstance("i-1", "svc", whole))
+    system.store.put("op", "config", b"\xff\x00")
+    system.store.put("servers", "i-9", b"[]")
+    system.store.put_json("servers", "i-8", {"address": "nowhere"})
+    system.store.forget_history()
+    time.sleep(0.5)
+    assert system.send("/a/x").status == 200
+
+
+def test_outage_of_the_store_leaves_everything_in_force(system) -> None:
+    served(system, ScriptedInstance("i-1", "svc", whole))
+    system.store.outage = True
+    time.sleep(0.5)
+    assert system.send("/a/x").status == 200
+    system.store.outage = False
+    system.apply(2, {"r": route("/d/", "svc")}, "svc")
+    system.wait_until_served("/d/x")
+
+
+def test_directory_and_readiness(system) -> None:
+    entry = system.settings.entry
+    target = f"/resolve?name={HOST}&region=r&zone=zone-a"
+    assert request(entry.readiness_address, "GET", "/readiness").status == 503
+    served(system, ScriptedInstance("i-1", "svc", whole))
+    wait_until(
+        lambda: request(entry.readiness_address, "GET", "/readiness").status == 200,
+        "the entry is ready",
+    )
+    reply = json.loads(request(entry.directory_address, "GET", target).body)
+    assert reply["addresses"] == [entry.caller_address]
+    assert 0 < reply["ttlS"] <= 5
+    metrics = request(entry.metrics_address, "GET", "/metrics").body
+    assert b"dotterelpier_answers_total" in metrics
+
+
+def test_row_of_the_entry_comes_back_when_removed(system) -> None:
+    wait_until(lambda: "entry-1" in system.store.keys("entries"), "the row is written")
+    system.store.put("entries", "entry-1", None)
+    wait_until(lambda: "entry-1" in system.store.keys("entries"), "the row is back")
