--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -119,6 +119,7 @@
 
     def following(self) -> "StrictResponse":
         """Return the answer that follows this one on the connection, once read."""
+        self.close()
         response = type(self)(self.sock, method=self.method)
         response.reader.release()
         response.reader = self.reader
--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -59,8 +59,8 @@
         When it will be warm, on the monotonic clock.
     in_flight : int
         Requests of this entry at it.
-    sent_since : int
-        Requests sent since the last load that it told.
+    sent_since, ended_since : int
+        Requests of this entry sent and ended since the last load that it told.
     """
 
     instance: Instance
@@ -75,6 +75,7 @@
     cold_until: float = -math.inf
     in_flight: int = 0
     sent_since: int = 0
+    ended_since: int = 0
     failures: float = 0.0
     held_until: float = -math.inf
     _hold_s: float = HOLD_FIRST_S
@@ -98,8 +99,8 @@
         """Return the requests estimated to be at it, those of other entries too."""
         if self.load is None:
             return self.in_flight
-        told = self.load.running + self.load.waiting + self.sent_since
-        return max(self.in_flight, told)
+        told = self.load.running + self.load.waiting
+        return max(self.in_flight, told + self.sent_since - self.ended_since)
 
     def has_room(self) -> bool:
         """Tell whether one more request can be sent without overfilling it."""
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -175,6 +175,7 @@
             if condition is None:
                 return
             condition.in_flight = max(0, condition.in_flight - 1)
+            condition.ended_since += 1
             held = False
             if success:
                 condition.note_success()
@@ -201,7 +202,7 @@
                 return
             was_slow = condition.load and condition.load.work_ratio >= SLOW_RATIO
             condition.load, condition.load_at = load, at
-            condition.sent_since = 0
+            condition.sent_since = condition.ended_since = 0
             if load.work_ratio >= SLOW_RATIO and not was_slow:
                 watchers = tuple(self._watchers_by_id.get(instance_id, ()))
             self._changed.notify_all()
--- a/dotterelpier/fleet/liveness.py
+++ b/dotterelpier/fleet/liveness.py
@@ -15,6 +15,8 @@
 # Entries that watch each one; it is noticed unless all of them go with it.
 WATCHERS = 3
 PING_INTERVAL_S = 1.0
+# Pause after a ping without an answer.
+PING_RETRY_S = 0.3
 # Pings in a row without an answer after which an entry counts as gone; with the
 # timeout of a ping this takes less than the time after which clients must no longer
 # be sent to it.
@@ -38,7 +40,7 @@
     def serve(self) -> None:
         """Ping until stopped."""
         missed = 0
-        while not self._stopped.wait(PING_INTERVAL_S):
+        while not self._stopped.wait(PING_RETRY_S if missed else PING_INTERVAL_S):
             try:
                 self._peers.ping(self.member)
                 missed = 0
--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -44,6 +44,8 @@
     _sizes: deque[tuple[float, int]] = field(factory=deque)
     _lock: threading.RLock = field(factory=threading.RLock)
     _write_wanted: threading.Event = field(factory=threading.Event)
+    # The connection takes one call at a time.
+    _store_lock: threading.Lock = field(factory=threading.Lock)
     _listeners: list[Callable[[], None]] = field(factory=list)
     _leaving: bool = False
 
@@ -79,7 +81,7 @@
         with self._lock:
             while len(self._sizes) > 1 and self._sizes[1][0] < now - SIZE_WINDOW_S:
                 self._sizes.popleft()
-            return max((size for _, size in self._sizes), default=1)
+            return max(1, max((size for _, size in self._sizes), default=1))
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change; it must not block."""
@@ -107,6 +109,9 @@
         present = {row.key for row in rows}
         with self._lock:
             gone = tuple(self._member_by_name.keys() - present)
+            written = self._me.name in self._version_by_name
+        if written and self._me.name not in present and not self._leaving:
+            self._write_wanted.set()
         self.take_changes((*(StoreRow(name, None, 0) for name in gone), *rows))
 
     def take_changes(self, rows: tuple[StoreRow, ...]) -> None:
@@ -142,7 +147,8 @@
         while self._write_wanted.wait() and not self._leaving:
             self._write_wanted.clear()
             try:
-                version = self._store.put(TABLE, self._me.name, content)
+                with self._store_lock:
+                    version = self._store.put(TABLE, self._me.name, content)
             except PlatformError as error:
                 logger.info("own row not written", error=str(error))
                 self._link.wait_until_reached(WRITE_RETRY_S)
@@ -154,7 +160,8 @@
 
     def _delete(self, name: str, version: int) -> None:
         try:
-            self._store.delete(TABLE, name, version)
+            with self._store_lock:
+                self._store.delete(TABLE, name, version)
         except ConflictError:
             logger.info("row of an entry already changed", peer=name, version=version)
         except PlatformError as error:
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -1,6 +1,6 @@
 """HTTP front end for clients whose requests are routed by host and path."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import define
 from loguru import logger
@@ -38,6 +38,12 @@
 RETRY_AFTER_S = 0.2
 STATUSES_WITHOUT_LENGTH = frozenset({204, 304})
 HOST_HEADER = "Host"
+STATUS_CLASSES: Mapping[int, str] = {
+    2: "success",
+    3: "redirect",
+    4: "client-error",
+    5: "server-error",
+}
 
 
 @define
@@ -63,7 +69,9 @@
             internal = InternalError(type(error).__name__, step=STEP)
             reply = self._problem(environ, internal)
         duration_s = self._clock.monotonic() - environ[ARRIVED_AT]
-        self._metrics.count("answers", status=f"{reply.status // 100}xx")
+        self._metrics.count(
+            "answers", status=STATUS_CLASSES.get(reply.status // 100, "")
+        )
         self._metrics.observe("answer_seconds", duration_s)
         return _encode(environ, reply, start_response)
 
@@ -179,5 +187,6 @@
         limits.body_bytes,
         limits.header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
+        notices_leaving=True,
     )
     return LimitedFrontend(server, kernel.find(ServiceName.ROUTES, Routes))
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -108,6 +108,7 @@
     _max_body_bytes: int
     _max_header_bytes: int
     _tasks: Tasks
+    _notices_leaving: bool = False
     _server: Any = None
     _socket_map: dict[int, Any] = field(factory=dict)
 
@@ -146,7 +147,7 @@
             inbuf_overflow=IN_MEMORY_BYTES,
             outbuf_overflow=IN_MEMORY_BYTES,
             outbuf_high_watermark=UNSENT_BYTES,
-            channel_request_lookahead=LOOKAHEAD,
+            channel_request_lookahead=LOOKAHEAD if self._notices_leaving else 0,
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
@@ -205,8 +206,20 @@
     max_body_bytes: int,
     max_header_bytes: int,
     tasks: Tasks,
+    *,
+    notices_leaving: bool = False,
 ) -> HttpServer:
-    """Return a server that is not yet listening."""
+    """Return a server that is not yet listening.
+
+    With ``notices_leaving`` it tells while a request is served that its client closed
+    the connection; clients must not close their sending side alone then.
+    """
     return HttpServer(
-        application, address, threads, max_body_bytes, max_header_bytes, tasks
+        application,
+        address,
+        threads,
+        max_body_bytes,
+        max_header_bytes,
+        tasks,
+        notices_leaving,
     )
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -43,7 +43,7 @@
     "outcome": frozenset(outcome.value for outcome in Outcome),
     "result": frozenset(result.value for result in ExchangeResult),
     "kind": frozenset(kind.value for kind in MeasuringKind),
-    "status": frozenset({"2xx", "3xx", "4xx", "5xx"}),
+    "status": frozenset({"success", "redirect", "client-error", "server-error"}),
 }
 
 
@@ -75,9 +75,6 @@
     "answer_seconds": MetricDeclaration(
         Histogram, "Duration of requests of clients in seconds."
     ),
-    "log_lines_dropped": MetricDeclaration(
-        Gauge, "Log lines left out because nobody read them in time."
-    ),
     "hedges": MetricDeclaration(
         Counter, "Second attempts while the first one takes long.", ("service",)
     ),
