--- a/dotterelpier/cli/commands.py
+++ b/dotterelpier/cli/commands.py
@@ -13,10 +13,17 @@
 
 from dotterelpier.cli.arguments import Arguments
 from dotterelpier.cli.audit import AuditFilter, run_audit
+from dotterelpier.cli.explain import run_explain
 from dotterelpier.cli.invocation import Invocation
 from dotterelpier.cli.manifest import run_apply, run_check, run_show
 from dotterelpier.cli.status import run_status
-from dotterelpier.cli.system import run_entry_command, run_serve_command, run_version
+from dotterelpier.cli.system import (
+    run_entry_command,
+    run_serve_command,
+    run_settings_check,
+    run_version,
+)
+from dotterelpier.errors import UsageError
 
 DEFAULT_SETTINGS = "dotterelpier.toml"
 MAX_WAIT_S = 3600.0
@@ -38,9 +45,19 @@
 
     def __init__(self) -> None:
         self.manifest = ManifestCommands()
+        self.settings = SettingsCommands()
 
     def __dir__(self) -> list[str]:
-        return ["audit", "entry", "manifest", "serve", "status", "version"]
+        return [
+            "audit",
+            "entry",
+            "explain",
+            "manifest",
+            "serve",
+            "settings",
+            "status",
+            "version",
+        ]
 
     @_takes_text
     def entry(self, *, settings: str = DEFAULT_SETTINGS) -> Invocation:
@@ -74,6 +91,32 @@
         """
         return Invocation(partial(run_serve_command, _path("serve", settings)))
 
+    @_takes_text
+    def explain(self, request_id: str, *files: str, json: bool = False) -> Invocation:
+        """Show the decisions on a request, from saved logs of entries.
+
+        Shows with them what became known of its backend servers meanwhile. Times are
+        relative to the first line about the request.
+
+        Example: dotterelpier explain 9c41d07be2a35f68 entry-1.log entry-2.log
+
+        Parameters
+        ----------
+        request_id : str
+            Id that the client gave to the request.
+        files : str
+            Saved logs.
+        json : bool
+            Write JSON lines.
+        """
+        arguments = Arguments("explain")
+        paths = tuple(Path(arguments.text("files", file)) for file in files)
+        if not paths:
+            raise UsageError("explain: name at least one log", step="explain")
+        wanted = arguments.text("request_id", request_id)
+        shown_as_json = arguments.switch("json", json)
+        return Invocation(partial(run_explain, wanted, paths, shown_as_json))
+
     @_takes_text
     def status(
         self,
@@ -166,6 +209,27 @@
         return Invocation(run_version)
 
 
+class SettingsCommands:
+    """Check settings files."""
+
+    def __dir__(self) -> list[str]:
+        return ["check"]
+
+    @_takes_text
+    def check(self, file: str) -> Invocation:
+        """Check the settings file of a fleet's entry and name each fault by its key.
+
+        Example: dotterelpier settings check examples/fleet.toml
+
+        Parameters
+        ----------
+        file : str
+            Settings file with [entry] and [store] tables.
+        """
+        path = Path(Arguments("settings check").text("file", file))
+        return Invocation(partial(run_settings_check, path))
+
+
 class ManifestCommands:
     """Check, apply and show manifests."""
 
--- a/dotterelpier/cli/system.py
+++ b/dotterelpier/cli/system.py
@@ -36,6 +36,13 @@
     os._exit(ExitStatus.OK)
 
 
+def run_settings_check(settings: Path, environment: Environment) -> ExitStatus:
+    """Check the settings of a fleet's entry."""
+    checked = read_fleet_settings(settings)
+    environment.show(f"{settings}: {checked.entry.name} in {checked.entry.zone}")
+    return ExitStatus.OK
+
+
 def run_version(environment: Environment) -> ExitStatus:
     """Show the version."""
     environment.show(__version__)
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from attrs import define, field
+from loguru import logger
 from waitress import wasyncore
 from waitress.server import create_server
 from waitress.task import WSGITask
@@ -31,6 +32,10 @@
 CLEANUP_INTERVAL_S = 15
 BACKLOG = 2048
 
+# Longest wait for the server's task, which passes within milliseconds unless the
+# machine is overloaded.
+STOP_LISTENING_TIMEOUT_S = 1.0
+
 # Requests read ahead on a connection; only then its closing is noticed meanwhile.
 LOOKAHEAD = 1
 
@@ -163,10 +168,16 @@
         self._server.adj.cleanup_interval = min(CLEANUP_INTERVAL_S, seconds / 4)
 
     def stop_listening(self) -> None:
-        """Accept no more connections, and close those that are idle."""
-        self._server.trigger.pull_trigger(self._close_listener)
+        """Accept no more connections, and close those that are idle.
+
+        Returns once that is done, so that ``busy`` tells all that is left.
+        """
+        done = threading.Event()
+        self._server.trigger.pull_trigger(lambda: self._close_listener(done))
+        if not done.wait(STOP_LISTENING_TIMEOUT_S):
+            logger.warning("listener not closed in time", peer=self._address)
 
-    def _close_listener(self) -> None:
+    def _close_listener(self, done: threading.Event) -> None:
         """Run in the server's task, so that no request is just being read."""
         if self._server.accepting:
             self._server.accepting = False
@@ -175,6 +186,7 @@
         for channel in tuple(self._server.active_channels.values()):
             if channel.idle():
                 channel.will_close = True
+        done.set()
 
     def busy(self) -> bool:
         """Tell whether a request is being served or an answer is not yet sent."""
--- a/dotterelpier/services/drain.py
+++ b/dotterelpier/services/drain.py
@@ -68,7 +68,13 @@
         self._wait(lambda: not self._homes_to_hand_over(), HANDOVER_S)
         self._takes_calls = False
         self._wait(lambda: self._calls.in_flight() == 0, self._longest_call_s())
+        until = self._clock.monotonic() + UNREAD_S
         self._wait(lambda: not any(item.busy() for item in frontends), UNREAD_S)
+        # A request may have come in since; those that did are answered too.
+        for frontend in frontends:
+            frontend.stop_listening()
+        remaining_s = until - self._clock.monotonic()
+        self._wait(lambda: not any(item.busy() for item in frontends), remaining_s)
         logger.info("planned stop done", step="drain")
 
     def _frontends(self) -> tuple[StoppableFrontend, ...]:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -29,6 +29,7 @@
     sent_at: float = 0.0
     refused_from: float | None = None
     closing: bool = False
+    late_s: float = 0.0
     drain: Drain = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -80,6 +81,9 @@
     def close_after_answers(self) -> None:
         self.closing = True
 
+    def stop_listening(self) -> None:
+        self.sent_at = max(self.sent_at, self.clock.now + self.late_s)
+
     def busy(self) -> bool:
         return self.clock.now < self.sent_at
 
@@ -109,6 +113,12 @@
     assert 25.0 <= took_s < 26.0
 
 
+@pytest.mark.promise(8)
+def test_request_that_comes_in_at_the_end_is_answered() -> None:
+    _, took_s = _run(ends_at=20.0, late_s=2.0)
+    assert took_s >= 22.0
+
+
 @pytest.mark.promise(8)
 @pytest.mark.parametrize(
     ("changes", "longest_s"),
--- /dev/null
+++ b/tests/test_fleet_decisions.py
@@ -0,0 +1,327 @@
+"""Decisions of a fleet's entry, with a clock that moves only when told."""
+
+import math
+
+import pytest
+from attrs import evolve
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from dotterelpier.fleet.condition import HOLD_FIRST_S, Condition
+from dotterelpier.fleet.conditions import SharedConditions
+from dotterelpier.fleet.directory import CapacityDirectory
+from dotterelpier.fleet.ranking import home, rank
+from dotterelpier.fleet.retry_budget import SharedRetryBudget
+from dotterelpier.fleet.splitting import WeightedSplit
+from dotterelpier.fleet_settings import BoundSettings
+from dotterelpier.model.fleet import FleetMember
+from dotterelpier.model.instance import (
+    HealthReport,
+    Instance,
+    LoadFigures,
+    Measurement,
+)
+from dotterelpier.model.route import Route, RouteTable, ServiceTerms, Share
+from tests.fakes import ManualClock
+
+ROUTE = Route("r", "h", "/a/", (Share("svc", 1.0),), True, target_s=0.4)
+TERMS = ServiceTerms("svc", "/health", 100, 3.0, 7.3)
+TABLE = RouteTable(1, {"h": {"/a/": ROUTE}}, {"svc": TERMS})
+
+
+def member(name: str, zone: str = "a") -> FleetMember:
+    return FleetMember(name, zone, f"{name}:1", f"{name}:2", "x")
+
+
+def instance(number: int, zone: str = "a") -> Instance:
+    return Instance(f"i-{number}", "svc", f"10.0.0.{number}:80", zone, 4)
+
+
+class Fleet:
+    """A fleet whose members a test sets."""
+
+    def __init__(self, *members: FleetMember) -> None:
+        self.known = members
+
+    def me(self) -> FleetMember:
+        return self.known[0]
+
+    def members(self) -> tuple[FleetMember, ...]:
+        return self.known
+
+    def size(self) -> int:
+        return len(self.known)
+
+
+class Routes:
+    """One table, and the zones that are evacuated."""
+
+    def __init__(self) -> None:
+        self.evacuated: set[str] = set()
+
+    def table(self) -> RouteTable:
+        return TABLE
+
+    def is_evacuated(self, zone: str) -> bool:
+        return zone in self.evacuated
+
+    def subscribe(self, listener) -> None:
+        """Do nothing: tests refresh by hand."""
+
+
+class Registry:
+    """Instances that a test sets."""
+
+    def __init__(self, *instances: Instance) -> None:
+        self.known = instances
+
+    def instances(self) -> tuple[Instance, ...]:
+        return self.known
+
+    def subscribe(self, listener) -> None:
+        """Do nothing: tests refresh by hand."""
+
+
+def conditions_of(*instances: Instance, fleet: Fleet | None = None):
+    clock, routes, registry = ManualClock(), Routes(), Registry(*instances)
+    fleet = fleet or Fleet(member("e-1"))
+    made = SharedConditions(clock, None, routes, registry, fleet)
+    made.start()
+    return made, clock, routes, registry
+
+
+def check(made, clock, item: Instance, ratio: float = 1.0, **options) -> None:
+    report = HealthReport(
+        item.id, options.pop("healthy", True), LoadFigures(0, 0, 4, ratio), **options
+    )
+    made.note_check(Measurement(item.id, clock.now, report))
+
+
+def picked(made, count: int = 1) -> list[str]:
+    chosen = [made.pick("svc", ROUTE, frozenset()) for _ in range(count)]
+    return [item.instance.id for item in chosen if item]
+
+
+def test_unproven_server_gets_nothing() -> None:
+    made, clock, _, _ = conditions_of(instance(1))
+    assert picked(made) == []
+    check(made, clock, instance(1))
+    assert picked(made) == ["i-1"]
+
+
+def test_slow_server_is_avoided_while_that_is_known() -> None:
+    made, clock, _, _ = conditions_of(instance(1), instance(2))
+    check(made, clock, instance(1), ratio=7.0)
+    check(made, clock, instance(2))
+    assert set(picked(made, 4)) == {"i-2"}
+
+
+def test_other_zone_is_used_only_where_the_own_is_worse() -> None:
+    made, clock, _, _ = conditions_of(instance(1), instance(2, "b"))
+    check(made, clock, instance(1))
+    check(made, clock, instance(2))
+    assert set(picked(made, 4)) == {"i-1"}
+    check(made, clock, instance(1), ratio=7.0)
+    assert picked(made) == ["i-2"]
+
+
+def test_full_server_gets_no_more() -> None:
+    made, clock, _, _ = conditions_of(instance(1))
+    check(made, clock, instance(1))
+    assert len(picked(made, 20)) == 8
+    made.note_ended("i-1", True)
+    assert len(picked(made, 20)) == 1
+
+
+def test_server_that_fails_twice_is_held_off_while_others_serve() -> None:
+    made, clock, _, _ = conditions_of(instance(1), instance(2))
+    for item in (instance(1), instance(2)):
+        check(made, clock, item)
+    for _ in range(2):
+        made.note_ended("i-1", False)
+    assert set(picked(made, 6)) == {"i-2"}
+    clock.advance(HOLD_FIRST_S + 0.1)
+    for item in (instance(1), instance(2)):
+        check(made, clock, item)
+    assert "i-1" in picked(made, 16)
+
+
+def test_returned_zone_needs_a_check_sent_after_its_return() -> None:
+    made, clock, routes, _ = conditions_of(instance(1))
+    check(made, clock, instance(1))
+    routes.evacuated.add("a")
+    made.refresh()
+    assert picked(made) == []
+    sent_before = Measurement(
+        "i-1", clock.now, HealthReport("i-1", True, LoadFigures(0, 0, 4))
+    )
+    clock.advance(0.1)
+    routes.evacuated.clear()
+    made.refresh()
+    made.note_check(sent_before)
+    assert picked(made) == []
+    clock.advance(0.1)
+    check(made, clock, instance(1))
+    assert picked(made) == ["i-1"]
+
+
+def test_result_of_another_entry_does_not_clear_an_own_failure() -> None:
+    made, clock, _, _ = conditions_of(instance(1))
+    check(made, clock, instance(1))
+    made.note_unreachable("i-1", "refused")
+    clock.advance(0.1)
+    report = HealthReport("i-1", True, LoadFigures(0, 0, 4))
+    made.note_measurement(Measurement("i-1", clock.now, report))
+    assert picked(made) == []
+    assert made.check_wanted("i-1", 10.0)
+    check(made, clock, instance(1))
+    assert picked(made) == ["i-1"]
+
+
+def test_new_incarnation_is_not_taken_for_the_old_one() -> None:
+    made, clock, _, registry = conditions_of(instance(1))
+    check(made, clock, instance(1))
+    registry.known = (evolve(instance(1), born_ms=5, cold_remaining_s=3.0),)
+    made.refresh()
+    assert picked(made) == []
+
+
+def test_slowdown_is_told_once_to_those_that_wait() -> None:
+    made, clock, _, _ = conditions_of(instance(1))
+    told = []
+    check(made, clock, instance(1))
+    stop = made.watch_slowdown("i-1", lambda: told.append(1))
+    for ratio in (1.0, 7.0, 7.0):
+        clock.advance(0.1)
+        check(made, clock, instance(1), ratio=ratio)
+    stop()
+    clock.advance(0.1)
+    check(made, clock, instance(1))
+    check(made, clock, instance(1), ratio=7.0)
+    assert told == [1]
+
+
+def test_cold_server_belongs_to_one_entry() -> None:
+    members = (member("e-1"), member("e-2"), member("e-3"))
+    owners = []
+    for own in members:
+        others = [item for item in members if item is not own]
+        made, clock, _, _ = conditions_of(instance(1), fleet=Fleet(own, *others))
+        check(made, clock, instance(1), cold_remaining_s=3.0)
+        owners += [own.name] * len(picked(made, 10))
+    assert len(owners) == 1
+
+
+def test_pace_of_two_owners_stays_within_the_bound() -> None:
+    """Two entries that each believe to be the home, over each second of a minute."""
+    sent: list[float] = []
+    for _ in range(2):
+        condition, now = Condition(instance(1), cold_until=math.inf), 0.0
+        while now < 60.0:
+            if condition.take_cold_token(now, TERMS.warmup_per_s):
+                sent.append(now)
+            now += 0.01
+    sent.sort()
+    for at in sent:
+        within = sum(at <= other < at + 1.0 for other in sent)
+        assert within <= TERMS.warmup_per_s * 1.5 + 5
+
+
+def test_every_entry_ranks_alike_and_few_homes_move() -> None:
+    members = [member(f"e-{number}") for number in range(10)]
+    keys = [f"i-{number}" for number in range(200)]
+    before = {key: home(key, "a", members).name for key in keys}
+    after = {key: home(key, "a", members[:-1]).name for key in keys}
+    assert rank("k", members) == rank("k", reversed(members))
+    moved = [key for key in keys if before[key] != after[key]]
+    assert all(before[key] == "e-9" for key in moved)
+    assert home("i-1", "z", members) is not None
+    assert home("i-1", "a", ()) is None
+
+
+def directory(capacity, *members: FleetMember):
+    class Capacities:
+        def capacity_by_zone(self, services):
+            return capacity
+
+    class Taking:
+        def takes_requests(self):
+            return True
+
+    fleet = Fleet(*members)
+    made = CapacityDirectory(fleet, Routes(), Capacities(), Taking(), BoundSettings())
+    return made.addresses("h", "a")
+
+
+def test_directory_names_zones_by_their_capacity() -> None:
+    members = [
+        member(f"{zone}-{number}", zone) for zone in "abc" for number in range(6)
+    ]
+    named = directory({"a": 32, "b": 16}, *members)
+    zones = [address[0] for address in named]
+    assert (zones.count("a"), zones.count("b"), zones.count("c")) == (6, 3, 0)
+
+
+def test_directory_names_all_where_nothing_is_known() -> None:
+    assert len(directory({}, member("a-1"), member("b-1", "b"))) == 2
+    assert len(directory({"z": 4}, member("a-1"))) == 1
+
+
+@pytest.mark.parametrize("entries", [1, 5, 15])
+def test_split_keeps_its_weights_over_all_entries(entries) -> None:
+    route = evolve(ROUTE, shares=(Share("x", 90.0), Share("y", 10.0)))
+    splits = [WeightedSplit() for _ in range(entries)]
+    chosen = [split.choose(route) for split in splits for _ in range(600 // entries)]
+    assert 0.05 <= chosen.count("y") / len(chosen) <= 0.15
+
+
+class RetryBudgets(RuleBasedStateMachine):
+    """Entries that spend one budget; the sum never exceeds what is agreed."""
+
+    BOUNDS = BoundSettings(retry_ratio=0.2, retry_window_s=10.0, retry_slack=12.0)
+
+    @initialize(entries=st.integers(1, 6))
+    def begin(self, entries: int) -> None:
+        self.clock = ManualClock()
+        fleet = Fleet(*(member(f"e-{number}") for number in range(entries)))
+        self.budgets = [
+            SharedRetryBudget(self.clock, fleet, self.BOUNDS) for _ in range(entries)
+        ]
+        self.requests: list[float] = []
+        self.repeats: list[float] = []
+
+    @rule(entry=st.integers(0, 5), count=st.integers(1, 40))
+    def serve(self, entry: int, count: int) -> None:
+        for _ in range(count):
+            self.budgets[entry % len(self.budgets)].note_request("svc")
+            self.requests.append(self.clock.now)
+
+    @rule(entry=st.integers(0, 5), count=st.integers(1, 40))
+    def repeat(self, entry: int, count: int) -> None:
+        for _ in range(count):
+            if self.budgets[entry % len(self.budgets)].take("svc"):
+                self.repeats.append(self.clock.now)
+
+    @rule(seconds=st.floats(0.1, 12.0))
+    def wait(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @precondition(lambda self: hasattr(self, "clock"))
+    @invariant()
+    def within_the_budget(self) -> None:
+        since = self.clock.now - self.BOUNDS.retry_window_s
+        repeats = sum(at >= since for at in self.repeats)
+        requests = sum(at >= since for at in self.requests)
+        allowed = self.BOUNDS.retry_ratio * requests + self.BOUNDS.retry_slack
+        assert repeats <= allowed
+
+
+TestRetryBudgets = RetryBudgets.TestCase
+TestRetryBudgets.settings = settings(max_examples=40, stateful_step_count=30)
