--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,12 +3,19 @@
 import io
 import json
 import logging
+import threading
 from collections.abc import Iterator
 
 import pytest
 from loguru import logger
 
-from dotterelpier.log import MAX_LINES_PER_PLACE, MAX_VALUE_CHARACTERS, configure_log
+from dotterelpier.log import (
+    MAX_LINES_PER_PLACE,
+    MAX_QUEUED_LINES,
+    MAX_VALUE_CHARACTERS,
+    QueuedStream,
+    configure_log,
+)
 
 
 @pytest.fixture
@@ -71,3 +78,45 @@
     logging.getLogger("waitress").error("from a library")
     (line,) = _lines(stream)
     assert (line["message"], line["library"]) == ("from a library", "waitress")
+
+
+class FullPipe(io.StringIO):
+    """A pipe that nobody reads until it is opened."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.opened = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.opened.wait()
+        return super().write(text)
+
+
+def test_full_pipe_blocks_nobody_and_what_is_lost_is_counted() -> None:
+    pipe = FullPipe()
+    queued = QueuedStream(pipe)
+    queued.start()
+    flood = threading.Thread(
+        target=lambda: [queued.write("x\n") for _ in range(MAX_QUEUED_LINES + 100)]
+    )
+    flood.start()
+    flood.join(10.0)
+    assert not flood.is_alive()
+    assert queued.dropped >= 99
+    pipe.opened.set()
+    queued.close(10.0)
+    lost = [json.loads(line) for line in pipe.getvalue().splitlines() if line != "x"]
+    assert sum(line["count"] for line in lost) == queued.dropped
+    assert pipe.getvalue().count("x\n") == MAX_QUEUED_LINES + 100 - queued.dropped
+
+
+def test_reader_that_went_away_ends_nothing() -> None:
+    class Closed(io.StringIO):
+        def write(self, text: str) -> int:
+            raise BrokenPipeError
+
+    queued = QueuedStream(Closed())
+    queued.start()
+    queued.write("x\n")
+    queued.close(10.0)
+    assert queued.dropped == 1
--- /dev/null
+++ b/tests/test_row_store.py
@@ -0,0 +1,176 @@
+"""The connection to the store's rows, and tasks that follow its tables."""
+
+import threading
+import time
+
+import pytest
+
+from dotterelpier.errors import (
+    ConflictError,
+    HistoryLostError,
+    PlatformUnavailableError,
+)
+from dotterelpier.fleet.follower import make_follower
+from dotterelpier.fleet.store_link import make_store_link
+from dotterelpier.kernel import make_kernel
+from dotterelpier.model.fleet import StoreRow
+from dotterelpier.platform.store import make_row_stores
+from dotterelpier.protocols import ServiceName
+from dotterelpier.protocols.fleet import StoreLink
+from dotterelpier.services.clock import make_clock
+from dotterelpier.services.tasks import make_tasks
+from dotterelpier.settings import LimitSettings
+from tests.scripted_server import ScriptedServer
+from tests.standins.row_store import start_row_store
+from tests.utils import wait_until
+
+
+@pytest.fixture
+def store():
+    address, state = start_row_store()
+    return make_row_stores(address), state
+
+
+def test_rows_are_written_read_and_deleted(store) -> None:
+    connection = store[0].connect()
+    version = connection.put("t", "k", b"\x00value")
+    assert connection.read("t").rows == (StoreRow("k", b"\x00value", version),)
+    with pytest.raises(ConflictError):
+        connection.delete("t", "k", version + 1)
+    connection.delete("t", "k", version)
+    assert connection.read("t").rows == ()
+
+
+def test_all_pages_of_a_table_are_read(store) -> None:
+    stores, state = store
+    keys = [f"k{number}" for number in range(10)]
+    for key in keys:
+        state.put("t", key, b"")
+    assert [row.key for row in stores.connect().read("t").rows] == keys
+
+
+def test_watch_tells_changes_and_lost_history(store) -> None:
+    stores, state = store
+    connection = stores.connect()
+    state.put("t", "k", b"1")
+    state.put("t", "k", None)
+    reply = connection.watch("t", 0, 0.1)
+    assert [row.value for row in reply.rows] == [b"1", None]
+    assert connection.watch("t", reply.version, 0.05).rows == ()
+    state.forget_history()
+    with pytest.raises(HistoryLostError):
+        connection.watch("t", 0, 0.1)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull",
+        b'HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{"rows":[3]}',
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot json!",
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"",
+    ],
+)
+def test_malformed_reply_counts_as_no_answer(answer) -> None:
+    server = ScriptedServer(lambda request: [answer, b""])
+    connection = make_row_stores(server.address).connect()
+    with pytest.raises(PlatformUnavailableError):
+        connection.read("t")
+    with pytest.raises(PlatformUnavailableError):
+        connection.watch("t", 1, 0.1)
+    server.close()
+
+
+def test_unreadable_value_is_not_taken_for_a_deleted_row(store) -> None:
+    body = b'{"rows":[{"key":"k","ver":3,"value":"***"}],"ver":3}'
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    server = ScriptedServer(lambda request: [head + body])
+    reply = make_row_stores(server.address).connect().read("t")
+    assert reply.rows == (StoreRow("k", b"", 3),)
+    server.close()
+
+
+class Following:
+    """Two followers of one store, the first of them the sentinel."""
+
+    def __init__(self, stores) -> None:
+        self.kernel = make_kernel()
+        self.kernel.register(ServiceName.CLOCK, make_clock())
+        self.kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
+        self.kernel.register(ServiceName.STORES, stores)
+        self.kernel.register(ServiceName.STORE_LINK, make_store_link(self.kernel))
+        self.link = self.kernel.find(ServiceName.STORE_LINK, StoreLink)
+        self.seen: dict[str, bytes | None] = {}
+        self.snapshots = 0
+        self.followers = [
+            make_follower(
+                self.kernel, table, self.snapshot, self.changes, sentinel=first
+            )
+            for table, first in (("op", True), ("t", False))
+        ]
+        for follower in self.followers:
+            follower.start()
+
+    def snapshot(self, rows) -> None:
+        self.snapshots += 1
+        self.changes(rows)
+
+    def changes(self, rows) -> None:
+        self.seen.update((row.key, row.value) for row in rows)
+
+    def stop(self) -> None:
+        self.link.close()
+        for follower in self.followers:
+            follower.stop()
+
+
+@pytest.fixture
+def following(store):
+    made = Following(store[0])
+    yield made, store[1]
+    made.stop()
+
+
+def test_follower_tells_changes(following) -> None:
+    made, state = following
+    state.put("t", "k", b"1")
+    wait_until(lambda: made.seen.get("k") == b"1", "the row is seen")
+    state.put("t", "k", None)
+    wait_until(lambda: made.seen["k"] is None, "the deletion is seen")
+
+
+def test_lost_history_is_made_up_by_reading_anew(following) -> None:
+    made, state = following
+    wait_until(lambda: made.snapshots == 2, "both tables were read")
+    with state.changed:
+        state.put("t", "k", b"1")
+        state.forget_history()
+    wait_until(lambda: made.seen.get("k") == b"1", "the row is seen")
+
+
+def test_outage_costs_the_calls_of_one_task(following) -> None:
+    made, state = following
+    wait_until(lambda: made.snapshots == 2, "both tables were read")
+    state.outage = True
+    wait_until(lambda: not made.link.reached(), "the outage is noticed")
+    before = len([call for call in state.calls if call.endswith(" t")])
+    time.sleep(1.5)
+    calls = [call for call in state.calls if call.endswith(" t")]
+    assert len(calls) - before <= 1
+    state.put("t", "k", b"1")
+    state.outage = False
+    wait_until(lambda: made.seen.get("k") == b"1", "the row is seen")
+
+
+def test_waiting_for_the_store_ends_with_the_process(store) -> None:
+    kernel = make_kernel()
+    kernel.register(ServiceName.CLOCK, make_clock())
+    link = make_store_link(kernel)
+    waiting = threading.Thread(target=link.wait_until_reached, args=(60.0,))
+    waiting.start()
+    link.close()
+    waiting.join(5.0)
+    assert not waiting.is_alive()
