--- a/dotterelpier/cli/audit.py
+++ b/dotterelpier/cli/audit.py
@@ -43,9 +43,16 @@
 
 
 def run_audit(
-    settings: Path, wanted: AuditFilter, as_json: bool, environment: Environment
+    settings: Path,
+    since: float,
+    until: float,
+    key: str,
+    event: str,
+    as_json: bool,
+    environment: Environment,
 ) -> ExitStatus:
     """Show the entries that are wanted, the oldest first."""
+    wanted = AuditFilter(since, until, key, event)
     platform = open_platform(settings, environment)
     for row in platform.scan(AUDIT_PREFIX):
         entry = decode_row(row, AuditEntry)
--- a/dotterelpier/cli/commands.py
+++ b/dotterelpier/cli/commands.py
@@ -5,24 +5,13 @@
 
 import uuid
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
 from typing import TypeVar
 
 from fire.decorators import SetParseFn
 
 from dotterelpier.cli.arguments import Arguments
-from dotterelpier.cli.audit import AuditFilter, run_audit
-from dotterelpier.cli.explain import run_explain
-from dotterelpier.cli.invocation import Invocation
-from dotterelpier.cli.manifest import run_apply, run_check, run_show
-from dotterelpier.cli.status import run_status
-from dotterelpier.cli.system import (
-    run_entry_command,
-    run_serve_command,
-    run_settings_check,
-    run_version,
-)
+from dotterelpier.cli.invocation import Invocation, invocation
 from dotterelpier.errors import UsageError
 
 DEFAULT_SETTINGS = "dotterelpier.toml"
@@ -73,7 +62,7 @@
             Settings file with an [entry] table.
         """
         path = _path("entry", settings)
-        return Invocation(partial(run_entry_command, path))
+        return invocation("entry.run_entry_command", path)
 
     @_takes_text
     def serve(self, *, settings: str = DEFAULT_SETTINGS) -> Invocation:
@@ -89,7 +78,7 @@
         settings : str
             Settings file with [entry] and [store] tables.
         """
-        return Invocation(partial(run_serve_command, _path("serve", settings)))
+        return invocation("serve.run_serve_command", _path("serve", settings))
 
     @_takes_text
     def explain(self, request_id: str, *files: str, json: bool = False) -> Invocation:
@@ -115,7 +104,7 @@
             raise UsageError("explain: name at least one log", step="explain")
         wanted = arguments.text("request_id", request_id)
         shown_as_json = arguments.switch("json", json)
-        return Invocation(partial(run_explain, wanted, paths, shown_as_json))
+        return invocation("explain.run_explain", wanted, paths, shown_as_json)
 
     @_takes_text
     def status(
@@ -149,14 +138,12 @@
         """
         arguments = Arguments("status")
         where = arguments.text("address", address) if address else ""
-        return Invocation(
-            partial(
-                run_status,
-                _path("status", settings),
-                where,
-                arguments.switch("all", all),
-                arguments.switch("json", json),
-            )
+        return invocation(
+            "status.run_status",
+            _path("status", settings),
+            where,
+            arguments.switch("all", all),
+            arguments.switch("json", json),
         )
 
     @_takes_text
@@ -192,21 +179,20 @@
             Write JSON lines.
         """
         arguments = Arguments("audit")
-        wanted = AuditFilter(
+        return invocation(
+            "audit.run_audit",
+            _path("audit", settings),
             arguments.time("since", since) if since else float("-inf"),
             arguments.time("until", until) if until else float("inf"),
             arguments.text("key", key) if key else "",
             arguments.text("event", event) if event else "",
-        )
-        path = _path("audit", settings)
-        return Invocation(
-            partial(run_audit, path, wanted, arguments.switch("json", json))
+            arguments.switch("json", json),
         )
 
     @_takes_text
     def version(self) -> Invocation:
         """Show the version."""
-        return Invocation(run_version)
+        return invocation("system.run_version")
 
 
 class SettingsCommands:
@@ -227,7 +213,7 @@
             Settings file with [entry] and [store] tables.
         """
         path = Path(Arguments("settings check").text("file", file))
-        return Invocation(partial(run_settings_check, path))
+        return invocation("serve.run_settings_check", path)
 
 
 class ManifestCommands:
@@ -248,7 +234,7 @@
             Manifest; - for standard input.
         """
         name = Arguments("manifest check").text("file", file)
-        return Invocation(partial(run_check, name))
+        return invocation("manifest.run_check", name)
 
     @_takes_text
     def apply(
@@ -280,15 +266,13 @@
             Write the result as JSON.
         """
         arguments = Arguments("manifest apply")
-        return Invocation(
-            partial(
-                run_apply,
-                arguments.text("file", file),
-                _path("manifest apply", settings),
-                arguments.text("apply_id", apply_id or uuid.uuid4().hex),
-                arguments.seconds("wait_s", wait_s, MAX_WAIT_S),
-                arguments.switch("json", json),
-            )
+        return invocation(
+            "manifest.run_apply",
+            arguments.text("file", file),
+            _path("manifest apply", settings),
+            arguments.text("apply_id", apply_id or uuid.uuid4().hex),
+            arguments.seconds("wait_s", wait_s, MAX_WAIT_S),
+            arguments.switch("json", json),
         )
 
     @_takes_text
@@ -302,7 +286,7 @@
         settings : str
             Settings file with a [platform] table.
         """
-        return Invocation(partial(run_show, _path("manifest show", settings)))
+        return invocation("manifest.run_show", _path("manifest show", settings))
 
 
 def _path(command: str, settings: object) -> Path:
--- a/dotterelpier/cli/system.py
+++ b/dotterelpier/cli/system.py
@@ -1,46 +1,8 @@
-"""Commands that run an entry and show the version."""
-
-import os
-from pathlib import Path
+"""Command that shows the version."""
 
 from dotterelpier import __version__
 from dotterelpier.cli.environment import Environment
-from dotterelpier.entry import run_entry
 from dotterelpier.exit_status import ExitStatus
-from dotterelpier.fleet_entry import run_fleet_entry
-from dotterelpier.fleet_settings import read_fleet_settings
-from dotterelpier.log import QueuedStream, configure_log
-from dotterelpier.settings import read_settings
-
-# Longest wait for the reader of the log at the end, in seconds.
-LOG_END_S = 0.2
-
-
-def run_entry_command(settings: Path, environment: Environment) -> ExitStatus:
-    """Run an entry until it is told to stop."""
-    checked = read_settings(settings)
-    configure_log(checked.log.level, environment.stderr)
-    run_entry(checked)
-    return ExitStatus.OK
-
-
-def run_serve_command(settings: Path, environment: Environment) -> ExitStatus:
-    """Run an entry of a fleet until it is told to stop."""
-    checked = read_fleet_settings(settings)
-    lines = QueuedStream(environment.stdout)
-    lines.start()
-    configure_log(checked.log.level, lines)
-    run_fleet_entry(checked)
-    lines.close(LOG_END_S)
-    # Threads that wait for a peer which is gone would hold the process at its end.
-    os._exit(ExitStatus.OK)
-
-
-def run_settings_check(settings: Path, environment: Environment) -> ExitStatus:
-    """Check the settings of a fleet's entry."""
-    checked = read_fleet_settings(settings)
-    environment.show(f"{settings}: {checked.entry.name} in {checked.entry.zone}")
-    return ExitStatus.OK
 
 
 def run_version(environment: Environment) -> ExitStatus:
