--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
-		--grpc_python_out=. dotterelpier/wire/peers.proto
+		--grpc_python_out=. dotterelpier/wire/peers.proto \
+		dotterelpier/wire/fleet.proto
 
 prove: setup
 	$(PYTHON) -m tests.prove $(P)
