--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dotterelpier.errors import SettingsError
+from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.model.manifest import Manifest
 from dotterelpier.settings import Settings, read_settings
 from tests.utils import ROOT
@@ -21,6 +22,7 @@
     "bytes_per_s": "bytes/s",
     "_per_s": "1/s",
     "_s": "s",
+    "_ms": "ms",
     "_bytes": "bytes",
     "_share": "share",
 }
@@ -88,7 +90,12 @@
 
 
 @pytest.mark.parametrize(
-    ("page", "kind"), [("SETTINGS.md", Settings), ("MANIFEST.md", Manifest)]
+    ("page", "kind"),
+    [
+        ("SETTINGS.md", Settings),
+        ("FLEET-SETTINGS.md", FleetSettings),
+        ("MANIFEST.md", Manifest),
+    ],
 )
 def test_page_describes_every_key_with_unit_default_and_limits(page, kind) -> None:
     assert _described(page) == _declared(kind)
