--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -98,7 +98,7 @@
     def _problem(self, environ: Environ, error: DotterelpierError) -> Reply:
         status = problem_status(error)
         logger.info(
-            "request refused",
+            "error answered",
             request=self._codec.attempt_id(environ),
             status=status,
             code=error.code,
