--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -1,52 +1,31 @@
 """Knows the condition of all backend servers and chooses among them."""
 
 import math
-import random
 import threading
 from collections.abc import Callable, Iterable, Mapping
 
-from attrs import define, field, frozen
+from attrs import define, field
 from loguru import logger
 
+from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
 from dotterelpier.fleet.ranking import home
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import Instance, LoadFigures, Measurement
 from dotterelpier.model.route import Route
-from dotterelpier.protocols import Clock, Metrics, ServiceName
+from dotterelpier.protocols import Clock, ServiceName
 from dotterelpier.protocols.fleet import Conditions, Fleet, Registry, Routes
 
-# Added to the expected time of a backend server in another zone, in multiples of the
-# usual work: bytes between zones have a price, those of large answers a high one.
-OTHER_ZONE_PENALTY = 0.4
-OTHER_ZONE_PENALTY_LARGE = 5.0
-# Added where its own health check speaks against it; the check may be wrong.
-UNHEALTHY_PENALTY = 2.0
-# Backend servers that differ by less than this are chosen among at random, so that
-# entries with the same knowledge do not all send to one.
-TIE_MARGIN = 0.2
-
-
-@frozen
-class ChosenInstance:
-    """A backend server chosen for a request, and what decided it."""
-
-    instance: Instance
-    work_ratio: float
-    age_s: float
-    busy: int
-
 
 @define
 class SharedConditions:
     """Conditions by backend server, behind one lock."""
 
     _clock: Clock
-    _metrics: Metrics
     _routes: Routes
     _registry: Registry
     _fleet: Fleet
-    _random: random.Random = field(factory=random.Random)
+    _chooser: ConditionChooser = field(factory=ConditionChooser)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
     _ids_by_service: dict[str, tuple[str, ...]] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
@@ -109,7 +88,8 @@
                 and self._may_warm_up(item, now, terms.warmup_per_s)
             ]
             trusted = [item for item in able if item.held_until <= now]
-            chosen = self._choose(trusted or able, route, now)
+            me = self._fleet.me()
+            chosen = self._chooser.choose(trusted or able, route, me.zone, now)
             if chosen is None:
                 return None
             return self._reserve(chosen, now, terms.warmup_per_s)
@@ -124,30 +104,6 @@
             return False
         return condition.has_cold_token(now, per_s)
 
-    def _choose(
-        self, conditions: list[Condition], route: Route, now: float
-    ) -> Condition | None:
-        if not conditions:
-            return None
-        scores = [self._score(item, route, now) for item in conditions]
-        limit = min(scores) + TIE_MARGIN
-        near = [
-            item
-            for item, score in zip(conditions, scores, strict=True)
-            if score <= limit
-        ]
-        weights = [max(1, item.instance.slots - item.busy()) for item in near]
-        return self._random.choices(near, weights)[0]
-
-    def _score(self, condition: Condition, route: Route, now: float) -> float:
-        score = condition.expected_time(now)
-        if condition.instance.zone != self._fleet.me().zone:
-            large = route.large_answers
-            score += OTHER_ZONE_PENALTY_LARGE if large else OTHER_ZONE_PENALTY
-        if not condition.healthy:
-            score += UNHEALTHY_PENALTY
-        return score
-
     def _reserve(
         self, condition: Condition, now: float, per_s: float
     ) -> ChosenInstance:
@@ -346,7 +302,6 @@
     """Return the conditions of all backend servers."""
     return SharedConditions(
         kernel.find(ServiceName.CLOCK, Clock),
-        kernel.find(ServiceName.METRICS, Metrics),
         kernel.find(ServiceName.ROUTES, Routes),
         kernel.find(ServiceName.REGISTRY, Registry),
         kernel.find(ServiceName.FLEET, Fleet),
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -1,9 +1,8 @@
 """Serves requests, each written straight down in the thread of its client."""
 
-from collections.abc import Callable
-from queue import Empty, SimpleQueue
+from queue import Empty
 
-from attrs import define, field, frozen
+from attrs import define, field
 from loguru import logger
 
 from dotterelpier.errors import (
@@ -18,16 +17,21 @@
     RefusedError,
     TaskPoolFullError,
 )
+from dotterelpier.fleet.run import (
+    Answered,
+    Attempt,
+    ClientLeft,
+    Event,
+    Run,
+    TurnedSlow,
+)
 from dotterelpier.fleet.splitting import WeightedSplit
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
-from dotterelpier.model.route import Route
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
-    Choice,
     Conditions,
     Forwarding,
-    InstanceExchange,
     Instances,
     RetryBudget,
     Routes,
@@ -49,87 +53,6 @@
 FIRST_FAILURE_STATUS = 500
 
 
-@frozen
-class Answered:
-    """An attempt ended, with an answer or an error."""
-
-    attempt: "Attempt"
-
-
-@frozen
-class TurnedSlow:
-    """The backend server of an attempt turned slow."""
-
-    attempt: "Attempt"
-
-
-@frozen
-class ClientLeft:
-    """The client closed its connection."""
-
-
-Event = Answered | TurnedSlow | ClientLeft
-
-
-@define(eq=False)
-class Attempt:
-    """One sending of a request to a backend server."""
-
-    choice: Choice
-    exchange: InstanceExchange
-    sent_at: float
-    unwatch: Callable[[], None]
-
-    @property
-    def peer(self) -> str:
-        """Return the id of the backend server."""
-        return self.choice.instance.id
-
-
-@define(eq=False)
-class Run:
-    """A request being served.
-
-    Attributes
-    ----------
-    request : Request
-        What the client sent.
-    route : Route
-        The route that it takes.
-    version : int
-        Version of the configuration that decided it.
-    service : str
-        The service that it goes to.
-    deadline_at : float
-        When its final answer is due, on the monotonic clock.
-    """
-
-    request: Request
-    route: Route
-    version: int
-    service: str
-    deadline_at: float
-    inbox: "SimpleQueue[Event]" = field(factory=SimpleQueue)
-    pending: list[Attempt] = field(factory=list)
-    tried: set[str] = field(factory=set)
-    possibly_run: int = 0
-    refusals: int = 0
-    hedged: bool = False
-    error: CallError | None = None
-    failure: InstanceAnswer | None = None
-
-    @property
-    def sent(self) -> int:
-        """Return the number of backend servers that the request was sent to."""
-        return self.possibly_run + self.refusals + len(self.pending)
-
-    @property
-    def may_repeat(self) -> bool:
-        """Tell whether sending once more can do no harm."""
-        nothing_ran = not self.possibly_run and not self.pending
-        return self.route.idempotent or nothing_ran
-
-
 @define
 class StraightForwarding:
     """Chooses, sends, waits, sends again where that is allowed, and answers."""
--- a/dotterelpier/fleet/liveness.py
+++ b/dotterelpier/fleet/liveness.py
@@ -9,7 +9,7 @@
 from dotterelpier.fleet.ranking import rank
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember
-from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
+from dotterelpier.protocols import ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import Fleet, FleetPeers, StoreLink
 
 # Entries that watch each one; it is noticed unless all of them go with it.
@@ -65,7 +65,6 @@
     fleet grow with its size, not with its square.
     """
 
-    _clock: Clock
     _tasks: Tasks
     _fleet: Fleet
     _peers: FleetPeers
@@ -118,7 +117,6 @@
 def make_liveness(kernel: Kernel) -> RingLiveness:
     """Return the watches of other entries."""
     return RingLiveness(
-        kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -1,17 +1,11 @@
 """Settings of an entry of a fleet, read from a TOML file."""
 
-import tomllib
 from pathlib import Path
 
 from attrs import Factory, field, frozen
 from attrs.validators import ge, gt, in_, le
 
-from dotterelpier.errors import SettingsError
-from dotterelpier.settings import LOG_LEVELS
-from dotterelpier.wire.manifest_toml import is_address
-from dotterelpier.wire.structure import structure
-
-STEP = "settings.read"
+from dotterelpier.settings import LOG_LEVELS, check_addresses, read_toml
 
 
 @frozen
@@ -64,8 +58,6 @@
 
     Attributes
     ----------
-    contact_ms : int
-        Age up to which a contact counts as fresh, in milliseconds.
     grace_s : float
         Time from SIGTERM to SIGKILL, in seconds.
     retry_ratio : float
@@ -80,7 +72,6 @@
         Health checks of a backend server each second, of all entries together.
     """
 
-    contact_ms: int = field(default=3000, validator=[ge(100), le(60_000)])
     grace_s: float = field(default=6.0, validator=[gt(0), le(600)])
     retry_ratio: float = field(default=0.2, validator=[ge(0), le(1)])
     retry_window_s: float = field(default=10.0, validator=[gt(0), le(600)])
@@ -120,18 +111,7 @@
     SettingsError
         Naming the key at fault.
     """
-    try:
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
-        settings = structure(data, FleetSettings)
-    except OSError as error:
-        raise _error(error.strerror or str(error), path) from None
-    except ValueError as error:
-        raise _error("; ".join(str(fault) for fault in error.args), path) from None
-    _check_addresses(settings, path)
-    return settings
-
-
-def _check_addresses(settings: FleetSettings, path: Path) -> None:
+    settings = read_toml(path, FleetSettings)
     entry = settings.entry
     address_by_key = {
         "entry.caller_address": entry.caller_address,
@@ -141,10 +121,5 @@
         "entry.metrics_address": entry.metrics_address,
         "store.address": settings.store.address,
     }
-    for key, address in address_by_key.items():
-        if not is_address(address):
-            raise _error(f"{key}: {address!r} is not IP:port", path)
-
-
-def _error(message: str, path: Path) -> SettingsError:
-    return SettingsError(message, step=STEP, peer=str(path))
+    check_addresses(address_by_key, path)
+    return settings
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -24,7 +24,7 @@
     status_line,
 )
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.call import Answer, Call, Headers, Outcome
+from dotterelpier.model.call import Answer, Call, Outcome
 from dotterelpier.protocols import (
     Admission,
     Calls,
@@ -49,7 +49,9 @@
     TIMEOUT_HEADER,
     WAITING_HEADER,
     forwardable,
+    request_headers,
     service_load_text,
+    variable_of,
 )
 from dotterelpier.wire.problem import (
     CONTENT_TYPE,
@@ -107,7 +109,7 @@
         return self._encode(environ, call_id, service, answer, start_response)
 
     def _call_id(self, environ: Environ) -> str:
-        relayed_id = environ.get(_variable(ATTEMPT_HEADER)) if self._relayed else None
+        relayed_id = environ.get(variable_of(ATTEMPT_HEADER)) if self._relayed else None
         return relayed_id or uuid.uuid4().hex
 
     def _target(self, environ: Environ) -> str:
@@ -133,7 +135,7 @@
         if not slash:
             service, mark, query = service.partition("?")
             path = "/" + mark + query
-        headers = _request_headers(environ)
+        headers = request_headers(environ)
         return Call(
             call_id,
             service,
@@ -143,9 +145,9 @@
             environ["wsgi.input"].read(),
             self._clock.monotonic() + self._timeout_s(environ, service),
             self._idempotency_key(environ),
-            environ.get(_variable(RELAY_HEADER), "") if self._relayed else "",
-            environ.get(_variable(RESERVATION_HEADER), "") if self._relayed else "",
-            self._relayed and environ.get(_variable(ONCE_HEADER)) == ONCE,
+            environ.get(variable_of(RELAY_HEADER), "") if self._relayed else "",
+            environ.get(variable_of(RESERVATION_HEADER), "") if self._relayed else "",
+            self._relayed and environ.get(variable_of(ONCE_HEADER)) == ONCE,
             _waiting(environ) if self._relayed else 0,
         )
 
@@ -156,7 +158,7 @@
             raise UnknownServiceError(
                 f"no service {service_name!r} is declared", step="callers.decode"
             )
-        text = environ.get(_variable(TIMEOUT_HEADER))
+        text = environ.get(variable_of(TIMEOUT_HEADER))
         if text is None:
             return service.deadline_s
         try:
@@ -170,7 +172,7 @@
         return timeout_s
 
     def _idempotency_key(self, environ: Environ) -> str:
-        key = str(environ.get(_variable(KEY_HEADER), ""))
+        key = str(environ.get(variable_of(KEY_HEADER), ""))
         if len(key) > MAX_KEY_LENGTH or not key.isprintable():
             raise _invalid(f"{KEY_HEADER}: must be up to {MAX_KEY_LENGTH} characters")
         return key
@@ -246,26 +248,11 @@
         self._metrics.observe("call_seconds", duration_s, service=service)
 
 
-def _variable(header: str) -> str:
-    return "HTTP_" + header.upper().replace("-", "_")
-
-
 def _waiting(environ: Environ) -> int:
-    text = environ.get(_variable(WAITING_HEADER), "0")
+    text = environ.get(variable_of(WAITING_HEADER), "0")
     return int(text) if text.isdecimal() and len(text) < MAX_COUNT_DIGITS else 0
 
 
-def _request_headers(environ: Environ) -> Headers:
-    headers = [
-        (name[5:].replace("_", "-").title(), value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    ]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return tuple(headers)
-
-
 def _invalid(message: str) -> InvalidCallError:
     return InvalidCallError(message, step="callers.decode")
 
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -17,12 +17,16 @@
     status_line,
 )
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.call import Headers
 from dotterelpier.model.request import Reply, Request
 from dotterelpier.model.route import ClientLimits
 from dotterelpier.protocols import Clock, Metrics, ServiceName, Tasks
 from dotterelpier.protocols.fleet import Forwarding, HeaderCodec, Routes
-from dotterelpier.wire.backend import NOT_FORWARDED, OUTCOME_HEADER, forwardable
+from dotterelpier.wire.backend import (
+    NOT_FORWARDED,
+    OUTCOME_HEADER,
+    forwardable,
+    request_headers,
+)
 from dotterelpier.wire.problem import (
     CONTENT_TYPE,
     problem_body,
@@ -88,7 +92,7 @@
             environ["REQUEST_METHOD"],
             host.partition(":")[0].lower(),
             target,
-            ((HOST_HEADER, host), *_request_headers(environ)),
+            ((HOST_HEADER, host), *forwardable(request_headers(environ))),
             environ["wsgi.input"].read(),
             environ[ARRIVED_AT],
             self._codec.patience_s(environ),
@@ -115,17 +119,6 @@
         return Reply(status, tuple(headers), problem_body(error))
 
 
-def _request_headers(environ: Environ) -> Headers:
-    headers = [
-        (name[5:].replace("_", "-").title(), value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    ]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    return forwardable(headers)
-
-
 def _encode(
     environ: Environ, reply: Reply, start_response: StartResponse
 ) -> Iterable[bytes]:
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -1,7 +1,9 @@
 """Settings of one process, read from a TOML file."""
 
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
+from typing import TypeVar
 
 from attrs import Factory, field, frozen
 from attrs.validators import ge, gt, in_, le
@@ -10,6 +12,8 @@
 from dotterelpier.wire.manifest_toml import is_address
 from dotterelpier.wire.structure import structure
 
+T = TypeVar("T")
+
 POLICIES = ("homes", "two_choices", "round_robin")
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -236,18 +240,7 @@
     SettingsError
         Naming the key at fault.
     """
-    try:
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
-        settings = structure(data, Settings)
-    except OSError as error:
-        raise _error(error.strerror or str(error), path) from None
-    except ValueError as error:
-        raise _error("; ".join(str(fault) for fault in error.args), path) from None
-    _check_addresses(settings, path)
-    return settings
-
-
-def _check_addresses(settings: Settings, path: Path) -> None:
+    settings = read_toml(path, Settings)
     address_by_key = {"platform.address": settings.platform.address}
     if settings.entry is not None:
         for name in ("caller", "relay", "peer", "operator"):
@@ -255,11 +248,39 @@
             address_by_key[f"entry.{key}"] = getattr(settings.entry, key)
     for index, seed in enumerate(settings.lease.seeds):
         address_by_key[f"lease.seeds[{index}]"] = seed
+    check_addresses(address_by_key, path)
+    if settings.lease.contact_s > settings.lease.lease_s:
+        raise _error("lease.contact_s: is above lease_s", path)
+    return settings
+
+
+def read_toml(path: Path, kind: type[T]) -> T:
+    """Return a TOML file as an instance of a settings class.
+
+    Raises
+    ------
+    SettingsError
+        Naming the key at fault.
+    """
+    try:
+        return structure(tomllib.loads(path.read_text(encoding="utf-8")), kind)
+    except OSError as error:
+        raise _error(error.strerror or str(error), path) from None
+    except ValueError as error:
+        raise _error("; ".join(str(fault) for fault in error.args), path) from None
+
+
+def check_addresses(address_by_key: Mapping[str, str], path: Path) -> None:
+    """Check that the settings under these keys are ``IP:port``.
+
+    Raises
+    ------
+    SettingsError
+        Naming the key at fault.
+    """
     for key, address in address_by_key.items():
         if not is_address(address):
             raise _error(f"{key}: {address!r} is not IP:port", path)
-    if settings.lease.contact_s > settings.lease.lease_s:
-        raise _error("lease.contact_s: is above lease_s", path)
 
 
 def _error(message: str, path: Path) -> SettingsError:
--- a/dotterelpier/wire/backend.py
+++ b/dotterelpier/wire/backend.py
@@ -2,7 +2,8 @@
 
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from dotterelpier.model.call import Attempt, Headers
 from dotterelpier.model.evidence import LoadReport, Readiness
@@ -69,6 +70,23 @@
     )
 
 
+def variable_of(header: str) -> str:
+    """Return the variable in which WSGI hands a header of a request over."""
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def request_headers(value_by_variable: Mapping[str, Any]) -> Headers:
+    """Return the headers of a request that WSGI handed over."""
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in value_by_variable.items()
+        if name.startswith("HTTP_")
+    ]
+    if value_by_variable.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", value_by_variable["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
 def attempt_headers(attempt: Attempt, deadline_unix: float) -> dict[str, str]:
     """Return the headers that accompany an attempt."""
     return {
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -92,7 +92,7 @@
 def conditions_of(*instances: Instance, fleet: Fleet | None = None):
     clock, routes, registry = ManualClock(), Routes(), Registry(*instances)
     fleet = fleet or Fleet(member("e-1"))
-    made = SharedConditions(clock, None, routes, registry, fleet)
+    made = SharedConditions(clock, routes, registry, fleet)
     made.start()
     return made, clock, routes, registry
 
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -99,7 +99,7 @@
     watches = []
     for own in world.known:
         world.own = own
-        made = RingLiveness(None, None, world, world, world)
+        made = RingLiveness(None, world, world, world)
         watches += [item.name for item in made._watched()]
     wanted = min(size - 1, liveness.WATCHERS)
     assert all(watches.count(item.name) == wanted for item in world.known)
@@ -107,7 +107,7 @@
 
 def test_watches_follow_the_fleet(world) -> None:
     tasks = make_tasks(LimitSettings())
-    made = RingLiveness(None, tasks, world, world, world)
+    made = RingLiveness(tasks, world, world, world)
     made.start()
     wait_until(lambda: world.pings > 0, "the others are pinged")
     world.silent.update(item.name for item in world.known)
