--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -1,5 +1,7 @@
 """A waitress server that runs as a task."""
 
+import select
+import socket
 import threading
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -180,10 +182,15 @@
     def _close_listener(self, done: threading.Event) -> None:
         """Run in the server's task, so that no request is just being read."""
         if self._server.accepting:
+            while _is_readable(self._server.socket):
+                self._server.handle_accept()
             self._server.accepting = False
             self._server.del_channel(self._socket_map)
             self._server.socket.close()
         for channel in tuple(self._server.active_channels.values()):
+            # A request that came already is served, not cut off unread.
+            if channel.idle() and _is_readable(channel.socket):
+                channel.handle_read()
             if channel.idle():
                 channel.will_close = True
         done.set()
@@ -203,6 +210,15 @@
         self._server.task_dispatcher.shutdown(timeout=1)
 
 
+def _is_readable(sock: socket.socket | None) -> bool:
+    """Tell whether a connection, or what came on one, waits to be taken."""
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def status_line(status: int) -> str:
     """Return a status code with its phrase."""
     try:
