--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -172,15 +172,28 @@
     def stop_listening(self) -> None:
         """Accept no more connections, and close those that are idle.
 
-        Returns once that is done, so that ``busy`` tells all that is left.
+        Returns once that is done and requests that had come are being served, so that
+        ``busy`` tells all that is left.
         """
+        # A round of the task may take a step before it reads; the second one after has
+        # read all that had come.
+        for step in (self._close_listener, _pass_round, _pass_round):
+            if not self._run_in_task(step):
+                logger.warning("listener not closed in time", peer=self._address)
+                return
+
+    def _run_in_task(self, step: Callable[[], None]) -> bool:
+        """Run a step in the server's task; return False if that took too long."""
         done = threading.Event()
-        self._server.trigger.pull_trigger(lambda: self._close_listener(done))
-        if not done.wait(STOP_LISTENING_TIMEOUT_S):
-            logger.warning("listener not closed in time", peer=self._address)
 
-    def _close_listener(self, done: threading.Event) -> None:
-        """Run in the server's task, so that no request is just being read."""
+        def run() -> None:
+            step()
+            done.set()
+
+        self._server.trigger.pull_trigger(run)
+        return done.wait(STOP_LISTENING_TIMEOUT_S)
+
+    def _close_listener(self) -> None:
         if self._server.accepting:
             while _is_readable(self._server.socket):
                 self._server.handle_accept()
@@ -188,12 +201,9 @@
             self._server.del_channel(self._socket_map)
             self._server.socket.close()
         for channel in tuple(self._server.active_channels.values()):
-            # A request that came already is served, not cut off unread.
-            if channel.idle() and _is_readable(channel.socket):
-                channel.handle_read()
-            if channel.idle():
+            # What came already is read by the task in its next rounds.
+            if channel.idle() and not _is_readable(channel.socket):
                 channel.will_close = True
-        done.set()
 
     def busy(self) -> bool:
         """Tell whether a request is being served or an answer is not yet sent."""
@@ -210,6 +220,10 @@
         self._server.task_dispatcher.shutdown(timeout=1)
 
 
+def _pass_round() -> None:
+    """Let a round of the server's task pass."""
+
+
 def _is_readable(sock: socket.socket | None) -> bool:
     """Tell whether a connection, or what came on one, waits to be taken."""
     if sock is None or sock.fileno() < 0:
