--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -3,7 +3,6 @@
 import http.client
 import itertools
 import re
-import select
 import socket
 import threading
 from collections.abc import Callable, Iterator
@@ -19,6 +18,7 @@
     OpenEndedResponse,
     StrictResponse,
     clean_headers,
+    is_readable,
     open_connection,
     shut_down,
 )
@@ -264,11 +264,8 @@
 
     def _is_quiet(self) -> bool:
         """Tell whether the other side neither closed nor sent anything unasked."""
-        if self._socket is None or self._socket.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        return not poll.poll(0)
+        is_open = self._socket is not None and self._socket.fileno() >= 0
+        return is_open and not is_readable(self._socket)
 
     def _put_head(self, request: HttpRequest) -> None:
         """Prepare the head; ``http.client`` sends nothing of it yet."""
--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -2,6 +2,7 @@
 
 import http.client
 import re
+import select
 import socket
 from typing import Any
 
@@ -214,6 +215,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def is_readable(sock: socket.socket | None) -> bool:
+    """Tell whether bytes, a new connection or the end of the stream wait to be read."""
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def shut_down(sock: socket.socket | None) -> None:
     """Break a connection, so that whoever waits for it stops waiting."""
     if sock is not None:
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -1,7 +1,5 @@
 """A waitress server that runs as a task."""
 
-import select
-import socket
 import threading
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -13,7 +11,7 @@
 from waitress.server import create_server
 from waitress.task import WSGITask
 
-from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.clients.http_connection import is_readable, parse_address
 from dotterelpier.errors import SettingsError
 from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.protocols import TaskKind, Tasks
@@ -195,14 +193,14 @@
 
     def _close_listener(self) -> None:
         if self._server.accepting:
-            while _is_readable(self._server.socket):
+            while is_readable(self._server.socket):
                 self._server.handle_accept()
             self._server.accepting = False
             self._server.del_channel(self._socket_map)
             self._server.socket.close()
         for channel in tuple(self._server.active_channels.values()):
             # What came already is read by the task in its next rounds.
-            if channel.idle() and not _is_readable(channel.socket):
+            if channel.idle() and not is_readable(channel.socket):
                 channel.will_close = True
 
     def busy(self) -> bool:
@@ -224,15 +222,6 @@
     """Let a round of the server's task pass."""
 
 
-def _is_readable(sock: socket.socket | None) -> bool:
-    """Tell whether a connection, or what came on one, waits to be taken."""
-    if sock is None or sock.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def status_line(status: int) -> str:
     """Return a status code with its phrase."""
     try:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field, frozen
 
-from dotterelpier.clients.http_connection import open_connection
+from dotterelpier.clients.http_connection import is_readable, open_connection
 from tests.utils import request_json
 
 
@@ -97,7 +97,8 @@
 
     def _connection(self, address: str) -> http.client.HTTPConnection:
         connection = self._connection_by_address.get(address)
-        if connection is None:
+        # A kept connection that the entry closed meanwhile carries no more requests.
+        if connection is None or is_readable(connection.sock):
             connection = open_connection(address, 10.0)
             self._connection_by_address[address] = connection
         return connection
