--- a/dotterelpier/clients/datagrams.py
+++ b/dotterelpier/clients/datagrams.py
@@ -15,7 +15,7 @@
 from dotterelpier.errors import SettingsError
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import ServiceName, TaskKind, Tasks
-from dotterelpier.protocols.fleet import Datagrams
+from dotterelpier.protocols.fleet import DatagramKind, Datagrams
 
 MAX_DATAGRAM_BYTES = 65_536
 
@@ -26,7 +26,7 @@
 
     _address: str
     _tasks: Tasks
-    _receiver: Callable[[bytes], None] | None = None
+    _receiver_by_kind: dict[bytes, Callable[[bytes], None]] = field(factory=dict)
     _socket: socket.socket | None = None
     _stopped: threading.Event = field(factory=threading.Event)
 
@@ -52,14 +52,17 @@
         """End the task."""
         self._stopped.set()
         # The task waits in a read, which closing the socket would not end.
-        self.send(self._address, b"")
+        self._send(self._address, b"")
 
-    def subscribe(self, receiver: Callable[[bytes], None]) -> None:
-        """Give each datagram that comes to a receiver, which must not block."""
-        self._receiver = receiver
+    def subscribe(self, kind: DatagramKind, receiver: Callable[[bytes], None]) -> None:
+        """Give each datagram of a kind to a receiver, which must not block."""
+        self._receiver_by_kind[kind.value] = receiver
 
-    def send(self, address: str, content: bytes) -> None:
+    def send(self, address: str, kind: DatagramKind, content: bytes) -> None:
         """Send a datagram; it may be lost."""
+        self._send(address, kind.value + content)
+
+    def _send(self, address: str, content: bytes) -> None:
         if self._socket is None:
             return
         parsed = parse_address(address)
@@ -81,10 +84,11 @@
         self._socket.close()
 
     def _take(self, content: bytes, sender: tuple[str, int]) -> None:
-        if self._receiver is None or not content:
+        receiver = self._receiver_by_kind.get(content[:1])
+        if receiver is None:
             return
         try:
-            self._receiver(content)
+            receiver(content[1:])
         except Exception as error:
             peer = f"{sender[0]}:{sender[1]}"
             logger.warning("datagram not read", peer=peer, error=repr(error))
--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -1,4 +1,7 @@
-"""Follows a table of the store: reads it once, then waits for its changes."""
+"""Follows a table of the store: reads it once, then waits for its changes.
+
+Changes come from the entry that keeps the table for others, or from the store itself.
+"""
 
 import threading
 from collections.abc import Callable
@@ -6,18 +9,31 @@
 from attrs import define, field
 from loguru import logger
 
-from dotterelpier.errors import HistoryLostError, PlatformError
+from dotterelpier.errors import (
+    HistoryLostError,
+    PeerUnavailableError,
+    PlatformError,
+)
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.fleet import StoreRow
+from dotterelpier.model.fleet import StoreReply, StoreRow
 from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
-from dotterelpier.protocols.fleet import RowStore, StoreLink, Stores
+from dotterelpier.protocols.fleet import Mirrors, RowStore, StoreLink, Stores
 
-# The sentinel notices within this time that the store stopped answering.
+# The sentinel notices within this time that the store stopped answering; that of a
+# keeper sooner, as others rely on it.
 SENTINEL_WAIT_S = 2.5
-# The store holds a watch for 30 s at most.
-WATCH_WAIT_S = 25.0
-# Pause of the sentinel after a failure.
-RETRY_S = 0.5
+KEEPER_WAIT_S = 1.0
+# A connection that went silent for good is noticed within this time; the store holds a
+# watch for 30 s at most.
+WATCH_WAIT_S = 5.0
+# Pause of the sentinel after a failure; longer where the others' announcements tell
+# that the store is back.
+KEEPER_RETRY_S = 0.5
+RETRY_S = 1.0
+# Longest wait for an announcement before the store is asked.
+ANNOUNCEMENT_WAIT_S = 0.5
+# Time for which a keeper that the store turned away asks the other keepers.
+STORE_AVOIDED_S = 2.0
 # Pause after a failure of this connection alone, while others reach the store.
 RECONNECT_S = 0.1
 # Longest pause while the store is out, after which a task tries by itself.
@@ -49,9 +65,11 @@
     sentinel: bool
     _store: RowStore
     _link: StoreLink
+    _mirrors: Mirrors
     _clock: Clock
     _tasks: Tasks
     _cursor: int | None = None
+    _store_avoided_until: float = float("-inf")
     _stopped: threading.Event = field(factory=threading.Event)
 
     def start(self) -> None:
@@ -72,31 +90,63 @@
             except HistoryLostError:
                 logger.info("table is read anew", table=self.table, after=self._cursor)
                 self._cursor = None
+            except PeerUnavailableError as error:
+                logger.info(
+                    "table not told",
+                    table=self.table,
+                    peer=error.peer,
+                    error=str(error),
+                )
             except PlatformError as error:
                 self._pause(error)
 
     def _follow(self) -> None:
-        if self._cursor is None:
-            reply = self._store.read(self.table)
-            self._link.note_reached()
+        reply = self._next()
+        self._link.note_reached()
+        if reply.whole:
             self.on_snapshot(reply.rows)
-        else:
-            wait_s = SENTINEL_WAIT_S if self.sentinel else WATCH_WAIT_S
-            reply = self._store.watch(self.table, self._cursor, wait_s)
-            self._link.note_reached()
-            if reply.rows:
-                self.on_changes(reply.rows)
-        self._cursor = reply.version
+        elif reply.rows:
+            self.on_changes(reply.rows)
+        if reply.version >= 0:
+            self._cursor = reply.version
         if reply.rows and self.gather_s:
             self._stopped.wait(self.gather_s)
 
+    def _next(self) -> StoreReply:
+        if self._asks_others():
+            after = -1 if self._cursor is None else self._cursor
+            return self._mirrors.watch(self.table, after, WATCH_WAIT_S)
+        if self._cursor is None:
+            reply = self._store.read(self.table)
+        else:
+            reply = self._store.watch(self.table, self._cursor, self._wait_s())
+        self._mirrors.take(self.table, reply)
+        return reply
+
+    def _asks_others(self) -> bool:
+        """Tell whether the table is kept by others, and need not be kept here."""
+        if self._mirrors.is_keeper():
+            avoided = self._clock.monotonic() < self._store_avoided_until
+            return avoided and self._mirrors.kept_by_others()
+        wait_s = 0.0 if self._cursor is None else ANNOUNCEMENT_WAIT_S
+        return self._mirrors.wait_until_kept(wait_s)
+
+    def _wait_s(self) -> float:
+        if not self.sentinel:
+            return WATCH_WAIT_S
+        return KEEPER_WAIT_S if self._mirrors.is_keeper() else SENTINEL_WAIT_S
+
     def _pause(self, error: PlatformError) -> None:
         logger.info(
             "table not read", table=self.table, after=self._cursor, error=str(error)
         )
+        self._store_avoided_until = self._clock.monotonic() + STORE_AVOIDED_S
+        if self._mirrors.kept_by_others():
+            return
         if self.sentinel:
             self._link.note_failed(error)
-            self._stopped.wait(RETRY_S)
+            keeper = self._mirrors.is_keeper()
+            self._mirrors.wait_until_kept(KEEPER_RETRY_S if keeper else RETRY_S)
         elif self._link.reached():
             self._stopped.wait(RECONNECT_S)
         else:
@@ -121,6 +171,7 @@
         sentinel,
         kernel.find(ServiceName.STORES, Stores).connect(),
         kernel.find(ServiceName.STORE_LINK, StoreLink),
+        kernel.find(ServiceName.MIRRORS, Mirrors),
         kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.TASKS, Tasks),
     )
--- a/dotterelpier/fleet/measurements.py
+++ b/dotterelpier/fleet/measurements.py
@@ -12,6 +12,7 @@
 from dotterelpier.protocols import Clock, ServiceName, Timer
 from dotterelpier.protocols.fleet import (
     Conditions,
+    DatagramKind,
     Datagrams,
     Fleet,
     Measurements,
@@ -39,7 +40,7 @@
 
     def start(self) -> None:
         """Take in the results of others from now on."""
-        self._datagrams.subscribe(self._receive)
+        self._datagrams.subscribe(DatagramKind.MEASUREMENTS, self._receive)
 
     def stop(self) -> None:
         """Do nothing; there is no task."""
@@ -66,7 +67,7 @@
             part = gathered[start : start + MEASUREMENTS_PER_DATAGRAM]
             content = encode_measurements(part, now)
             for address in addresses:
-                self._datagrams.send(address, content)
+                self._datagrams.send(address, DatagramKind.MEASUREMENTS, content)
 
     def _receive(self, content: bytes) -> None:
         for measurement in decode_measurements(content, self._clock.monotonic()):
--- /dev/null
+++ b/dotterelpier/fleet/mirrors.py
@@ -0,0 +1,281 @@
+"""Shares the store's tables among the entries, so that few of them ask the store.
+
+In each zone one entry, the keeper, watches the store. It announces by datagram how far
+it knows each table, and the others ask it for what they lack. Where no announcement
+comes, an entry watches the store itself.
+"""
+
+import threading
+
+from attrs import define, field, frozen
+from loguru import logger
+
+from dotterelpier.errors import PeerUnavailableError
+from dotterelpier.fleet.mirror import TableMirror
+from dotterelpier.fleet.ranking import rank
+from dotterelpier.kernel import Kernel
+from dotterelpier.model.fleet import (
+    Announcement,
+    FleetMember,
+    StoreReply,
+    TableVersions,
+)
+from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
+from dotterelpier.protocols.fleet import (
+    DatagramKind,
+    Datagrams,
+    Fleet,
+    FleetPeers,
+    Mirrors,
+)
+from dotterelpier.wire.fleet import decode_announcement, encode_announcement
+
+STEP = "mirrors"
+ANNOUNCE_INTERVAL_S = 0.25
+# Two announcements may be lost before a keeper counts as silent.
+ANNOUNCEMENT_FRESH_S = 0.8
+# A keeper announces only while the store answered it within this time; its shortest
+# watch ends sooner.
+STORE_FRESH_S = 2.0
+# In a fleet of one zone a second entry keeps the tables too.
+LEAST_KEEPERS = 2
+
+
+@frozen
+class Heard:
+    """The last announcement of a keeper, and when it came."""
+
+    member: FleetMember
+    versions_by_table: dict[str, TableVersions]
+    at: float
+
+
+@define
+class PeerMirrors:
+    """Copies of the tables, and what the keepers announced."""
+
+    _kernel: Kernel
+    _clock: Clock
+    _tasks: Tasks
+    _datagrams: Datagrams
+    _peers: FleetPeers
+    _mirror_by_table: dict[str, TableMirror] = field(factory=dict)
+    _heard_by_sender: dict[str, Heard] = field(factory=dict)
+    _store_answered_at: float = float("-inf")
+    _keeper: bool = True
+    _was_kept: bool = False
+    _announce_now: threading.Event = field(factory=threading.Event)
+    _stopped: bool = False
+    _changed: threading.Condition = field(factory=threading.Condition)
+
+    def start(self) -> None:
+        """Listen for announcements, and start the task that announces."""
+        self._datagrams.subscribe(DatagramKind.ANNOUNCEMENT, self._receive)
+        self._fleet().subscribe(self._choose_keepers)
+        self._choose_keepers()
+        self._tasks.submit(TaskKind.CONTROL, self._serve)
+
+    def stop(self) -> None:
+        """End the task, and let those that wait go on."""
+        self._stopped = True
+        self._announce_now.set()
+        with self._changed:
+            self._heard_by_sender.clear()
+            self._changed.notify_all()
+
+    def is_keeper(self) -> bool:
+        """Tell whether this entry asks the store for the others of its zone."""
+        return self._keeper
+
+    def kept_by_others(self) -> bool:
+        """Tell whether another entry announces the tables."""
+        with self._changed:
+            return bool(self._fresh())
+
+    def take(self, table: str, reply: StoreReply) -> None:
+        """Take in an answer of the store."""
+        with self._changed:
+            self._store_answered_at = self._clock.monotonic()
+            self._mirror(table).take(reply)
+        if reply.rows:
+            self._announce_now.set()
+
+    def changes(self, table: str, after: int) -> StoreReply:
+        """Return what is known here of a table after a version."""
+        with self._changed:
+            return self._mirror(table).changes(after)
+
+    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+        """Return the changes of a table after a version, waiting for the first.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If no other entry keeps the table, or the one that does is silent.
+        """
+        until = self._clock.monotonic() + wait_s
+        while True:
+            heard = self._wait(table, after, until)
+            if heard is None:
+                return StoreReply((), self._complete_to(table, after))
+            reply = self._ask(heard, table, after)
+            if reply is not None:
+                return reply
+
+    def _ask(self, heard: Heard, table: str, after: int) -> StoreReply | None:
+        """Return what a keeper tells, None if it is no further than this entry."""
+        try:
+            reply = self._peers.changes(heard.member, table, max(after, 0))
+        except PeerUnavailableError:
+            with self._changed:
+                self._heard_by_sender.pop(heard.member.name, None)
+            raise
+        if reply.version <= after and not reply.whole:
+            return None
+        with self._changed:
+            self._mirror(table).take(reply)
+        return reply
+
+    def _wait(self, table: str, after: int, until: float) -> Heard | None:
+        """Wait until a keeper knows more; None if the time ends before."""
+        with self._changed:
+            while True:
+                fresh = self._fresh()
+                if not fresh:
+                    raise PeerUnavailableError(
+                        "no entry announces the tables", step=STEP, peer=table
+                    )
+                ahead = [item for item in fresh if _changed(item, table) > after]
+                if ahead:
+                    return self._nearest(ahead)
+                remaining_s = until - self._clock.monotonic()
+                if remaining_s <= 0:
+                    return None
+                self._changed.wait(min(remaining_s, ANNOUNCEMENT_FRESH_S))
+
+    def wait_until_kept(self, timeout_s: float) -> bool:
+        """Block until another entry announces the tables; False if none does."""
+        with self._changed:
+            return self._changed.wait_for(lambda: bool(self._fresh()), timeout_s)
+
+    def _complete_to(self, table: str, after: int) -> int:
+        with self._changed:
+            known = [
+                item.versions_by_table[table].complete_to
+                for item in self._fresh()
+                if table in item.versions_by_table and _changed(item, table) <= after
+            ]
+        return max((after, *known))
+
+    def _fresh(self) -> list[Heard]:
+        oldest = self._clock.monotonic() - ANNOUNCEMENT_FRESH_S
+        return [item for item in self._heard_by_sender.values() if item.at >= oldest]
+
+    def _nearest(self, heard: list[Heard]) -> Heard:
+        zone = self._fleet().me().zone
+        return min(heard, key=lambda item: item.member.zone != zone)
+
+    def _mirror(self, table: str) -> TableMirror:
+        return self._mirror_by_table.setdefault(table, TableMirror(table))
+
+    def _fleet(self) -> Fleet:
+        # It follows its table through this service, so it is found only now.
+        return self._kernel.find(ServiceName.FLEET, Fleet)
+
+    def _choose_keepers(self) -> None:
+        fleet = self._fleet()
+        keeps = fleet.me().name in keepers(fleet.members())
+        if keeps != self._keeper:
+            logger.info("keeper of tables" if keeps else "tables kept by others")
+        self._keeper = keeps
+
+    def _receive(self, content: bytes) -> None:
+        announcement = decode_announcement(content)
+        members = {item.name: item for item in self._fleet().members()}
+        member = members.get(announcement.sender)
+        if member is None or member == self._fleet().me():
+            return
+        heard = Heard(
+            member,
+            {item.table: item for item in announcement.tables},
+            self._clock.monotonic(),
+        )
+        with self._changed:
+            before = self._heard_by_sender.get(member.name)
+            self._heard_by_sender[member.name] = heard
+            if before is None or _differs(before, heard):
+                self._changed.notify_all()
+
+    def _serve(self) -> None:
+        while not self._stopped:
+            self._announce_now.wait(ANNOUNCE_INTERVAL_S)
+            self._announce_now.clear()
+            self._log_change()
+            if self._keeper and self._knows_the_store():
+                self._announce()
+
+    def _knows_the_store(self) -> bool:
+        age_s = self._clock.monotonic() - self._store_answered_at
+        return age_s <= STORE_FRESH_S
+
+    def _announce(self) -> None:
+        fleet = self._fleet()
+        me = fleet.me()
+        with self._changed:
+            tables = tuple(item.versions() for item in self._mirror_by_table.values())
+        content = encode_announcement(Announcement(me.name, tables))
+        for member in fleet.members():
+            if member.name != me.name:
+                self._datagrams.send(
+                    member.peer_address, DatagramKind.ANNOUNCEMENT, content
+                )
+
+    def _log_change(self) -> None:
+        with self._changed:
+            self._heard_by_sender = {item.member.name: item for item in self._fresh()}
+            senders = sorted(self._heard_by_sender)
+        if bool(senders) != self._was_kept:
+            self._was_kept = bool(senders)
+            logger.info(
+                "tables announced" if senders else "no table announced",
+                senders=senders,
+                step=STEP,
+            )
+
+
+def keepers(members: tuple[FleetMember, ...]) -> frozenset[str]:
+    """Return the names of the entries that keep the store's tables for the others."""
+    zones = {member.zone for member in members}
+    names = {
+        rank(f"keeper {zone}", [item for item in members if item.zone == zone])[0].name
+        for zone in zones
+    }
+    for member in rank("keeper", members):
+        if len(names) < LEAST_KEEPERS:
+            names.add(member.name)
+    return frozenset(names)
+
+
+def _changed(heard: Heard, table: str) -> int:
+    versions = heard.versions_by_table.get(table)
+    return -1 if versions is None or versions.complete_to < 0 else versions.changed
+
+
+def _differs(before: Heard, after: Heard) -> bool:
+    """Tell whether a keeper knows more than before, or was silent in between."""
+    silent = after.at - before.at > ANNOUNCEMENT_FRESH_S
+    return silent or any(
+        _changed(after, table) != _changed(before, table)
+        for table in after.versions_by_table
+    )
+
+
+def make_mirrors(kernel: Kernel) -> Mirrors:
+    """Return the copies of the store's tables, empty."""
+    return PeerMirrors(
+        kernel,
+        kernel.find(ServiceName.CLOCK, Clock),
+        kernel.find(ServiceName.TASKS, Tasks),
+        kernel.find(ServiceName.DATAGRAMS, Datagrams),
+        kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
+    )
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -16,6 +16,7 @@
 from dotterelpier.fleet.liveness import make_liveness
 from dotterelpier.fleet.measurements import make_measurements
 from dotterelpier.fleet.members import make_fleet
+from dotterelpier.fleet.mirrors import make_mirrors
 from dotterelpier.fleet.planned_stop import make_planned_stop
 from dotterelpier.fleet.prober import make_prober
 from dotterelpier.fleet.registry import make_registry
@@ -113,11 +114,13 @@
     kernel.register(ServiceName.FLEET_PEERS, make_fleet_peers(settings.entry.name))
     datagrams = make_datagrams(kernel, settings.entry.peer_address)
     kernel.register(ServiceName.DATAGRAMS, datagrams, (tasks,))
+    needs = (tasks, ServiceName.DATAGRAMS)
+    kernel.register(ServiceName.MIRRORS, make_mirrors(kernel), needs)
     kernel.register(ServiceName.INSTANCES, make_instances(kernel), (timer,))
 
 
 def _register_knowledge(kernel: Kernel, settings: FleetSettings) -> None:
-    needs: tuple[str, ...] = (ServiceName.TIMER, ServiceName.STORE_LINK)
+    needs: tuple[str, ...] = (ServiceName.TIMER, ServiceName.MIRRORS)
     kernel.register(ServiceName.ROUTES, make_routes(kernel), needs)
     kernel.register(ServiceName.REGISTRY, make_registry(kernel), needs)
     fleet = make_fleet(kernel, _make_member(settings.entry))
--- a/dotterelpier/frontends/fleet_peers.py
+++ b/dotterelpier/frontends/fleet_peers.py
@@ -9,8 +9,9 @@
 from dotterelpier.errors import SettingsError
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import ServiceName
-from dotterelpier.protocols.fleet import Fleet
+from dotterelpier.protocols.fleet import Fleet, Mirrors
 from dotterelpier.wire import fleet_pb2, fleet_pb2_grpc
+from dotterelpier.wire.fleet import encode_changes
 
 # Each entry is pinged by a few others once a second.
 THREADS = 4
@@ -23,6 +24,7 @@
     """Answers messages of other entries."""
 
     _fleet: Fleet
+    _mirrors: Mirrors
 
     def Ping(  # noqa: N802
         self, request: fleet_pb2.PingRequest, context: Any
@@ -31,6 +33,12 @@
         me = self._fleet.me()
         return fleet_pb2.PingReply(name=me.name, incarnation=me.incarnation)
 
+    def Changes(  # noqa: N802
+        self, request: fleet_pb2.ChangesRequest, context: Any
+    ) -> fleet_pb2.ChangesReply:
+        """Tell what changed in a table of the store."""
+        return encode_changes(self._mirrors.changes(request.table, request.after))
+
 
 @define
 class FleetPeerFrontend:
@@ -67,5 +75,8 @@
 
 def make_fleet_peer_frontend(kernel: Kernel, address: str) -> FleetPeerFrontend:
     """Return the front end for other entries."""
-    servicer = FleetServicer(kernel.find(ServiceName.FLEET, Fleet))
+    servicer = FleetServicer(
+        kernel.find(ServiceName.FLEET, Fleet),
+        kernel.find(ServiceName.MIRRORS, Mirrors),
+    )
     return FleetPeerFrontend(servicer, address)
--- a/dotterelpier/model/fleet.py
+++ b/dotterelpier/model/fleet.py
@@ -32,10 +32,48 @@
         The rows, or the changes since the version asked for.
     version : int
         Version of the store that the reply covers.
+    whole : bool
+        Whether the rows are the whole table, not only changes.
     """
 
     rows: tuple[StoreRow, ...]
     version: int
+    whole: bool = False
+
+
+@frozen
+class TableVersions:
+    """How far an entry knows a table of the store.
+
+    Attributes
+    ----------
+    table : str
+        Name of the table.
+    changed : int
+        Version of the newest change known.
+    complete_to : int
+        Version of the store up to which no change is missing.
+    """
+
+    table: str
+    changed: int
+    complete_to: int
+
+
+@frozen
+class Announcement:
+    """Tells other entries how far a keeper of the store's tables knows them.
+
+    Attributes
+    ----------
+    sender : str
+        Name of the entry that keeps the tables.
+    tables : tuple of TableVersions
+        Its tables.
+    """
+
+    sender: str
+    tables: tuple[TableVersions, ...]
 
 
 @frozen
--- a/dotterelpier/platform/store.py
+++ b/dotterelpier/platform/store.py
@@ -10,7 +10,11 @@
 
 from attrs import define, field, frozen
 
-from dotterelpier.clients.http_connection import open_connection, shut_down
+from dotterelpier.clients.http_connection import (
+    is_readable,
+    open_connection,
+    shut_down,
+)
 from dotterelpier.errors import (
     ConflictError,
     HistoryLostError,
@@ -54,7 +58,8 @@
             query["from"] = page.rows[-1].key
             page = self._get(PATH_GET, query, CALL_TIMEOUT_S)
             row_by_key.update((row.key, row) for row in page.rows)
-        return StoreReply(tuple(row_by_key.values()), first.version)
+        rows = tuple(row_by_key.values())
+        return StoreReply(rows, first.version, whole=True)
 
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
         """Return the changes of a table after a version, waiting for the first."""
@@ -123,6 +128,10 @@
     def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
         with self._lock:
             connection = self._connection
+        if connection is not None and is_readable(connection.sock):
+            # The store closed it while it was idle.
+            self._close()
+            connection = None
         if connection is None:
             connection = open_connection(self._address, CONNECT_TIMEOUT_S)
             with self._lock:
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -3,6 +3,7 @@
 from dotterelpier.protocols.fleet.knowledge import (
     Choice,
     Conditions,
+    DatagramKind,
     Datagrams,
     Fleet,
     FleetPeers,
@@ -21,12 +22,19 @@
     PlannedStop,
     RetryBudget,
 )
-from dotterelpier.protocols.fleet.store import Codec, RowStore, StoreLink, Stores
+from dotterelpier.protocols.fleet.store import (
+    Codec,
+    Mirrors,
+    RowStore,
+    StoreLink,
+    Stores,
+)
 
 __all__ = [
     "Choice",
     "Codec",
     "Conditions",
+    "DatagramKind",
     "Datagrams",
     "EntryDirectory",
     "Fleet",
@@ -37,6 +45,7 @@
     "InstanceExchange",
     "Instances",
     "Measurements",
+    "Mirrors",
     "Pages",
     "PlannedStop",
     "Registry",
--- a/dotterelpier/protocols/fleet/knowledge.py
+++ b/dotterelpier/protocols/fleet/knowledge.py
@@ -1,9 +1,10 @@
 """Protocols of what an entry of a fleet knows."""
 
 from collections.abc import Callable, Mapping
+from enum import Enum
 from typing import Protocol
 
-from dotterelpier.model.fleet import FleetMember
+from dotterelpier.model.fleet import FleetMember, StoreReply
 from dotterelpier.model.instance import (
     Instance,
     LoadFigures,
@@ -85,6 +86,16 @@
         """
         ...
 
+    def changes(self, member: FleetMember, table: str, after: int) -> StoreReply:
+        """Return what an entry knows of a table of the store after a version.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If it does not answer.
+        """
+        ...
+
 
 class Conditions(Protocol):
     """What is known of each backend server at this moment."""
@@ -170,13 +181,20 @@
         ...
 
 
+class DatagramKind(bytes, Enum):
+    """First byte of a datagram: what it holds."""
+
+    MEASUREMENTS = b"m"
+    ANNOUNCEMENT = b"a"
+
+
 class Datagrams(Protocol):
     """Datagrams between entries; any may be lost."""
 
-    def send(self, address: str, content: bytes) -> None:
+    def send(self, address: str, kind: DatagramKind, content: bytes) -> None:
         """Send a datagram."""
         ...
 
-    def subscribe(self, receiver: Callable[[bytes], None]) -> None:
-        """Give each datagram that comes to a receiver, which must not block."""
+    def subscribe(self, kind: DatagramKind, receiver: Callable[[bytes], None]) -> None:
+        """Give each datagram of a kind to a receiver, which must not block."""
         ...
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -120,3 +120,37 @@
     def subscribe_regained(self, listener: Callable[[], None]) -> None:
         """Call a listener each time the store comes back; it must not block."""
         ...
+
+
+class Mirrors(Protocol):
+    """Copies of the store's tables that the entries share."""
+
+    def is_keeper(self) -> bool:
+        """Tell whether this entry asks the store for the others of its zone."""
+        ...
+
+    def kept_by_others(self) -> bool:
+        """Tell whether another entry announces the tables."""
+        ...
+
+    def wait_until_kept(self, timeout_s: float) -> bool:
+        """Block until another entry announces the tables; False if none does."""
+        ...
+
+    def take(self, table: str, reply: StoreReply) -> None:
+        """Take in an answer of the store."""
+        ...
+
+    def changes(self, table: str, after: int) -> StoreReply:
+        """Return what is known here of a table after a version."""
+        ...
+
+    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+        """Return the changes of a table after a version, waiting for the first.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If no other entry keeps the table, or the one that does is silent.
+        """
+        ...
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -41,6 +41,7 @@
     FLEET_PEERS = "fleet_peers"
     FLEET_FRONTEND = "fleet_frontend"
     STORE_LINK = "store_link"
+    MIRRORS = "mirrors"
     ROUTES = "routes"
     REGISTRY = "registry"
     FLEET = "fleet"
--- a/dotterelpier/wire/fleet.py
+++ b/dotterelpier/wire/fleet.py
@@ -2,6 +2,12 @@
 
 from collections.abc import Iterable
 
+from dotterelpier.model.fleet import (
+    Announcement,
+    StoreReply,
+    StoreRow,
+    TableVersions,
+)
 from dotterelpier.model.instance import HealthReport, LoadFigures, Measurement
 from dotterelpier.wire import fleet_pb2
 
@@ -29,6 +35,54 @@
     return tuple(_decode(item, now) for item in message.measurements)
 
 
+def encode_announcement(announcement: Announcement) -> bytes:
+    """Return an announcement as the content of a datagram."""
+    message = fleet_pb2.Announcement(
+        sender=announcement.sender,
+        tables=[
+            fleet_pb2.TableVersions(
+                table=item.table, changed=item.changed, complete_to=item.complete_to
+            )
+            for item in announcement.tables
+        ],
+    )
+    return message.SerializeToString()
+
+
+def decode_announcement(content: bytes) -> Announcement:
+    """Return the announcement of a datagram.
+
+    Raises
+    ------
+    google.protobuf.message.DecodeError
+        If the content is malformed.
+    """
+    message = fleet_pb2.Announcement.FromString(content)
+    tables = tuple(
+        TableVersions(item.table, item.changed, item.complete_to)
+        for item in message.tables
+    )
+    return Announcement(message.sender, tables)
+
+
+def encode_changes(reply: StoreReply) -> fleet_pb2.ChangesReply:
+    """Return rows of the store as a message."""
+    rows = [
+        fleet_pb2.Row(key=row.key, value=row.value, version=row.version)
+        for row in reply.rows
+    ]
+    return fleet_pb2.ChangesReply(rows=rows, version=reply.version, whole=reply.whole)
+
+
+def decode_changes(message: fleet_pb2.ChangesReply) -> StoreReply:
+    """Return the rows of a message."""
+    rows = tuple(
+        StoreRow(row.key, row.value if row.HasField("value") else None, row.version)
+        for row in message.rows
+    )
+    return StoreReply(rows, message.version, message.whole)
+
+
 def _encode(item: Measurement, now: float) -> fleet_pb2.Measurement:
     message = fleet_pb2.Measurement(
         instance_id=item.instance_id,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces, driven step by step without threads or real time."""
 
 import itertools
+import time
 from collections.abc import Callable, Sequence
 from concurrent.futures import Future
 from typing import Any
@@ -10,6 +11,7 @@
 from dotterelpier.errors import ConflictError, PlatformUnavailableError
 from dotterelpier.kernel import Kernel, make_kernel
 from dotterelpier.model.audit import AuditEntry
+from dotterelpier.model.fleet import StoreReply
 from dotterelpier.model.platform import ABSENT, Row, Vm, Write
 from dotterelpier.protocols import ServiceName, TaskKind
 from dotterelpier.services.audit import entry_write
@@ -247,3 +249,23 @@
     """Run each task of a kernel with fakes for one tick."""
     kernel.find(ServiceName.TIMER, StepTimer).tick()
     kernel.find(ServiceName.TASKS, StepTasks).step()
+
+
+class LoneKeeper:
+    """Copies of the store's tables in a fleet of one entry."""
+
+    def is_keeper(self) -> bool:
+        """Tell that nobody else asks the store."""
+        return True
+
+    def kept_by_others(self) -> bool:
+        """Tell that there are no others."""
+        return False
+
+    def wait_until_kept(self, timeout_s: float) -> bool:
+        """Wait in vain."""
+        time.sleep(timeout_s)
+        return False
+
+    def take(self, table: str, reply: StoreReply) -> None:
+        """Tell nobody."""
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -158,6 +158,7 @@
     """An entry, its store and backend servers."""
 
     store: RowStoreState
+    store_address: str
     settings: FleetSettings
     kernel: Kernel
     _ids: "itertools.count[int]" = field(factory=itertools.count)
@@ -199,8 +200,20 @@
 def start_fleet_system(**bounds: Any) -> FleetSystem:
     """Start an entry whose store is empty."""
     address, state = start_row_store()
-    entry = FleetEntrySettings("entry-1", ZONE, *(free_address() for _ in range(5)))
-    settings = FleetSettings(entry, StoreSettings(address), BoundSettings(**bounds))
+    return _start_entry("entry-1", address, state, BoundSettings(**bounds))
+
+
+def start_another_entry(system: FleetSystem, name: str) -> FleetSystem:
+    """Start an entry of the same fleet and zone."""
+    bounds = system.settings.bounds
+    return _start_entry(name, system.store_address, system.store, bounds)
+
+
+def _start_entry(
+    name: str, store_address: str, state: RowStoreState, bounds: BoundSettings
+) -> FleetSystem:
+    entry = FleetEntrySettings(name, ZONE, *(free_address() for _ in range(5)))
+    settings = FleetSettings(entry, StoreSettings(store_address), bounds)
     kernel = make_fleet_entry(settings)
     kernel.start()
-    return FleetSystem(state, settings, kernel)
+    return FleetSystem(state, store_address, settings, kernel)
--- /dev/null
+++ b/tests/test_mirrors.py
@@ -0,0 +1,301 @@
+"""Tables of the store that entries share instead of each asking the store."""
+
+import threading
+import time
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from dotterelpier.errors import PeerUnavailableError
+from dotterelpier.fleet.mirror import TableMirror
+from dotterelpier.fleet.mirrors import keepers, make_mirrors
+from dotterelpier.kernel import make_kernel
+from dotterelpier.model.fleet import (
+    Announcement,
+    FleetMember,
+    StoreReply,
+    StoreRow,
+    TableVersions,
+)
+from dotterelpier.protocols import ServiceName
+from dotterelpier.protocols.fleet import DatagramKind, Mirrors, Routes
+from dotterelpier.services.clock import make_clock
+from dotterelpier.services.tasks import make_tasks
+from dotterelpier.settings import LimitSettings
+from dotterelpier.wire.fleet import encode_announcement
+from tests.fleet_system import (
+    ScriptedInstance,
+    answer,
+    route,
+    start_another_entry,
+    start_fleet_system,
+)
+from tests.utils import wait_until
+
+KEYS = st.sampled_from("abcd")
+
+
+class MirroredTable(RuleBasedStateMachine):
+    """A store, a copy that follows it, and an entry that asks the copy."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.version = 1
+        self.rows: dict[str, StoreRow] = {}
+        self.changes: list[StoreRow] = []
+        self.mirror = TableMirror("t")
+        self.copied: dict[str, StoreRow] = {}
+        self.asker: dict[str, bytes] = {}
+        self.cursor = 0
+
+    @initialize()
+    def read(self) -> None:
+        self.mirror.take(StoreReply(tuple(self.rows.values()), self.version, True))
+        self.copied = dict(self.rows)
+        self.changes.clear()
+
+    @rule(key=KEYS, value=st.binary(max_size=2))
+    def put(self, key: str, value: bytes) -> None:
+        self.version += 1
+        self.rows[key] = StoreRow(key, value, self.version)
+        self.changes.append(self.rows[key])
+
+    @rule(key=KEYS)
+    def delete(self, key: str) -> None:
+        if self.rows.pop(key, None) is not None:
+            self.version += 1
+            self.changes.append(StoreRow(key, None, self.version))
+
+    @rule()
+    def change_another_table(self) -> None:
+        self.version += 1
+
+    @rule()
+    def watch(self) -> None:
+        self.mirror.take(StoreReply(tuple(self.changes), self.version))
+        self.copied = dict(self.rows)
+        self.changes.clear()
+
+    @rule()
+    def lose_history(self) -> None:
+        self.read()
+
+    @rule()
+    def ask(self) -> None:
+        reply = self.mirror.changes(self.cursor)
+        if reply.whole:
+            self.asker.clear()
+        for row in reply.rows:
+            if row.value is None:
+                self.asker.pop(row.key, None)
+            else:
+                self.asker[row.key] = row.value
+        self.cursor = reply.version
+        assert self.asker == {key: row.value for key, row in self.copied.items()}
+
+    @invariant()
+    def versions_cover_the_copy(self) -> None:
+        versions = self.mirror.versions()
+        assert versions.changed <= max(versions.complete_to, 0)
+        assert all(row.version <= versions.changed for row in self.copied.values())
+
+
+TestMirroredTable = MirroredTable.TestCase
+TestMirroredTable.settings = settings(max_examples=60, deadline=None)
+
+
+def member(number: int, zone: str = "a") -> FleetMember:
+    return FleetMember(f"entry-{number}", zone, "x:1", f"x:{number}", "1")
+
+
+def test_one_entry_of_each_zone_keeps_and_never_one_alone() -> None:
+    members = tuple(member(number, "abc"[number % 3]) for number in range(12))
+    names = keepers(members)
+    assert len(names) == 3
+    assert {item.zone for item in members if item.name in names} == set("abc")
+    assert len(keepers(tuple(member(number) for number in range(5)))) == 2
+    assert keepers((member(1),)) == {"entry-1"}
+
+
+class FakeFleet:
+    """Three entries of one zone; this one is the first that keeps nothing."""
+
+    def __init__(self) -> None:
+        everyone = tuple(member(number) for number in range(4))
+        kept = keepers(everyone)
+        self.own = next(item for item in everyone if item.name not in kept)
+        self.keeper = next(item for item in everyone if item.name in kept)
+        self.everyone = everyone
+
+    def me(self):
+        return self.own
+
+    def members(self):
+        return self.everyone
+
+    def subscribe(self, listener) -> None:
+        """Members never change."""
+
+
+class FakePeers:
+    """Other entries that answer from one copy, or not at all."""
+
+    def __init__(self) -> None:
+        self.mirror = TableMirror("t")
+        self.silent = False
+
+    def changes(self, asked, table, after):
+        if self.silent:
+            raise PeerUnavailableError("silent", step="test", peer=asked.name)
+        return self.mirror.changes(after)
+
+
+class FakeDatagrams:
+    """Datagrams that reach nobody."""
+
+    def __init__(self) -> None:
+        self.receivers = {}
+        self.sent = []
+
+    def subscribe(self, kind, receiver) -> None:
+        self.receivers[kind] = receiver
+
+    def send(self, address, kind, content) -> None:
+        self.sent.append((address, kind))
+
+
+class Shared:
+    """The service under test and the fakes around it."""
+
+    def __init__(self) -> None:
+        self.fleet, self.peers = FakeFleet(), FakePeers()
+        self.datagrams = FakeDatagrams()
+        self.kernel = make_kernel()
+        self.tasks = make_tasks(LimitSettings())
+        self.kernel.register(ServiceName.CLOCK, make_clock())
+        self.kernel.register(ServiceName.TASKS, self.tasks)
+        self.kernel.register(ServiceName.DATAGRAMS, self.datagrams)
+        self.kernel.register(ServiceName.FLEET_PEERS, self.peers)
+        self.kernel.register(ServiceName.FLEET, self.fleet)
+        self.mirrors = make_mirrors(self.kernel)
+        self.mirrors.start()
+
+    def announce(self, version: int, *rows: StoreRow, whole: bool = True) -> None:
+        self.peers.mirror.take(StoreReply(rows, version, whole))
+        versions = self.peers.mirror.versions()
+        content = encode_announcement(
+            Announcement(
+                self.fleet.keeper.name,
+                (TableVersions("t", versions.changed, versions.complete_to),),
+            )
+        )
+        self.datagrams.receivers[DatagramKind.ANNOUNCEMENT](content)
+
+    def stop(self) -> None:
+        self.mirrors.stop()
+        self.tasks.stop()
+
+
+@pytest.fixture
+def shared():
+    made = Shared()
+    yield made
+    made.stop()
+
+
+def test_change_is_told_by_the_keeper(shared) -> None:
+    row = StoreRow("k", b"1", 7)
+    shared.announce(9, row)
+    assert shared.mirrors.watch("t", -1, 1.0) == StoreReply((row,), 9, True)
+    assert shared.mirrors.watch("t", 9, 0.05) == StoreReply((), 9)
+    newer = StoreRow("k", b"2", 12)
+    timer = threading.Timer(0.1, lambda: shared.announce(12, newer, whole=False))
+    timer.start()
+    assert shared.mirrors.watch("t", 9, 5.0) == StoreReply((newer,), 12)
+
+
+def test_silent_keeper_is_no_longer_relied_on(shared) -> None:
+    with pytest.raises(PeerUnavailableError):
+        shared.mirrors.watch("t", 0, 5.0)
+    shared.announce(1)
+    assert shared.mirrors.kept_by_others()
+    wait_until(lambda: not shared.mirrors.kept_by_others(), "silence is noticed")
+    with pytest.raises(PeerUnavailableError):
+        shared.mirrors.watch("t", 1, 5.0)
+
+
+def test_keeper_that_cannot_be_asked_is_dropped(shared) -> None:
+    shared.announce(3, StoreRow("k", b"1", 3))
+    shared.peers.silent = True
+    with pytest.raises(PeerUnavailableError):
+        shared.mirrors.watch("t", 1, 5.0)
+    assert not shared.mirrors.kept_by_others()
+
+
+def test_entry_that_keeps_nothing_announces_nothing(shared) -> None:
+    assert not shared.mirrors.is_keeper()
+    shared.mirrors.take("t", StoreReply((StoreRow("k", b"1", 1),), 1, True))
+    time.sleep(0.4)
+    assert shared.datagrams.sent == []
+
+
+@pytest.fixture
+def fleet():
+    first = start_fleet_system()
+    systems = [
+        first,
+        *(start_another_entry(first, f"entry-{number}") for number in (2, 3, 4)),
+    ]
+    yield systems
+    for system in systems:
+        system.stop()
+
+
+def _mirrors(system) -> Mirrors:
+    return system.kernel.find(ServiceName.MIRRORS, Mirrors)
+
+
+def _version(system) -> int:
+    table = system.kernel.find(ServiceName.ROUTES, Routes).table()
+    return table.version if table else 0
+
+
+def _settled(systems) -> bool:
+    keeping = [system for system in systems if _mirrors(system).is_keeper()]
+    kept = all(_mirrors(system).kept_by_others() for system in systems)
+    return len(keeping) == 2 and kept
+
+
+def test_entries_that_keep_nothing_do_not_ask_the_store(fleet) -> None:
+    instance = ScriptedInstance("i-1", "shop", lambda item: [answer(item, b"sold")])
+    fleet[0].register(instance)
+    fleet[0].apply(1, {"shop": route("/shop/", "shop")}, "shop")
+    wait_until(lambda: _settled(fleet), "two of four entries keep the tables")
+    for system in fleet:
+        system.wait_until_served("/shop/x")
+    # Watches of entries that keep nothing end within this time.
+    time.sleep(6.0)
+    before = len(fleet[0].store.calls)
+    time.sleep(3.0)
+    # Two keepers watch three tables; one of the tables is asked for each second.
+    assert len(fleet[0].store.calls) - before <= 2 * 3 * 3
+    fleet[0].apply(2, {"shop": route("/shop/", "shop")}, "shop")
+    wait_until(lambda: all(_version(system) == 2 for system in fleet), "in force")
+
+
+def test_configuration_arrives_after_all_keepers_are_gone(fleet) -> None:
+    fleet[0].apply(1, {"shop": route("/shop/", "shop")}, "shop")
+    wait_until(lambda: _settled(fleet), "two of four entries keep the tables")
+    rest = [system for system in fleet if not _mirrors(system).is_keeper()]
+    for system in fleet:
+        if system not in rest:
+            _mirrors(system).stop()
+    fleet[0].apply(2, {"shop": route("/shop/", "shop")}, "shop")
+    wait_until(lambda: all(_version(system) == 2 for system in rest), "in force")
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -20,6 +20,7 @@
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
+from tests.fakes import LoneKeeper
 from tests.scripted_server import ScriptedServer
 from tests.standins.row_store import start_row_store
 from tests.utils import wait_until
@@ -102,6 +103,7 @@
         self.kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
         self.kernel.register(ServiceName.STORES, stores)
         self.kernel.register(ServiceName.STORE_LINK, make_store_link(self.kernel))
+        self.kernel.register(ServiceName.MIRRORS, LoneKeeper())
         self.link = self.kernel.find(ServiceName.STORE_LINK, StoreLink)
         self.seen: dict[str, bytes | None] = {}
         self.snapshots = 0
