--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -12,7 +12,7 @@
 # Expected for a backend server of which nothing fresh is known.
 UNKNOWN_RATIO = 2.0
 # Stretches of slow work last about half a second, so older figures tell little.
-FIGURES_FRESH_S = 0.5
+FIGURES_FRESH_S = 0.7
 # Requests that may queue at a backend server beyond its slots. It queues more, but one
 # that is full may reset connections, and then nobody knows what ran.
 QUEUE_PER_SLOT = 1.0
--- a/dotterelpier/fleet/measurements.py
+++ b/dotterelpier/fleet/measurements.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.instance import Measurement
+from dotterelpier.model.instance import LoadFigures, Measurement
 from dotterelpier.protocols import Clock, ServiceName, Timer
 from dotterelpier.protocols.fleet import (
     Conditions,
@@ -24,6 +24,15 @@
 GATHER_S = 0.02
 # So that a datagram fits one packet of an Ethernet.
 MEASUREMENTS_PER_DATAGRAM = 20
+# A result like the one before is sent again after this time, so that one datagram may
+# be lost before the others check by themselves.
+REPEAT_S = 0.25
+# A backend server without results for this long has left or has another home.
+FORGET_S = 10.0
+# Relative change of the work time that others are told at once.
+RATIO_CHANGE = 0.2
+# More free slots than this make no difference to a choice.
+FREE_SLOTS_TOLD = 2
 
 
 @define
@@ -36,6 +45,7 @@
     _conditions: Conditions
     _datagrams: Datagrams
     _gathered: list[Measurement] = field(factory=list)
+    _told_by_id: dict[str, Measurement] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
@@ -46,8 +56,12 @@
         """Do nothing; there is no task."""
 
     def publish(self, measurement: Measurement) -> None:
-        """Send a result to the other entries of the zone."""
+        """Send a result to the other entries of the zone, unless it is no news."""
         with self._lock:
+            told = self._told_by_id.get(measurement.instance_id)
+            if told is not None and not _is_news(told, measurement):
+                return
+            self._told_by_id[measurement.instance_id] = measurement
             self._gathered.append(measurement)
             first = len(self._gathered) == 1
         if first:
@@ -56,6 +70,7 @@
     def _send(self) -> None:
         with self._lock:
             gathered, self._gathered = self._gathered, []
+            self._forget_old()
         me = self._fleet.me()
         addresses = [
             member.peer_address
@@ -69,11 +84,44 @@
             for address in addresses:
                 self._datagrams.send(address, DatagramKind.MEASUREMENTS, content)
 
+    def _forget_old(self) -> None:
+        oldest = self._clock.monotonic() - FORGET_S
+        for instance_id, told in tuple(self._told_by_id.items()):
+            if told.measured_at < oldest:
+                del self._told_by_id[instance_id]
+
     def _receive(self, content: bytes) -> None:
         for measurement in decode_measurements(content, self._clock.monotonic()):
             self._conditions.note_measurement(measurement)
 
 
+def _is_news(told: Measurement, new: Measurement) -> bool:
+    """Tell whether a result differs from the one told last, or that one is old."""
+    if new.measured_at - told.measured_at >= REPEAT_S:
+        return True
+    before, after = told.report, new.report
+    if before is None or after is None:
+        return told.unreachable != new.unreachable
+    return (
+        before.healthy != after.healthy
+        or (before.cold_remaining_s > 0) != (after.cold_remaining_s > 0)
+        or _is_load_news(before.load, after.load)
+    )
+
+
+def _is_load_news(before: LoadFigures | None, after: LoadFigures | None) -> bool:
+    if before is None or after is None:
+        return before is not after
+    change = abs(after.work_ratio - before.work_ratio)
+    if change > RATIO_CHANGE * before.work_ratio:
+        return True
+    return _free_slots(before) != _free_slots(after)
+
+
+def _free_slots(load: LoadFigures) -> int:
+    return min(FREE_SLOTS_TOLD, load.slots - load.running - load.waiting)
+
+
 def make_measurements(kernel: Kernel) -> Measurements:
     """Return the sharing of health checks."""
     return ZoneMeasurements(
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -29,8 +29,8 @@
 # together stay below them.
 PROBE_SHARE = 0.6
 CHECK_TIMEOUT_S = 0.5
-# A result of another entry is enough for this long; the home sends several meanwhile.
-FRESH_S = 0.5
+# A result of another entry is enough for this long; the home sends two meanwhile.
+FRESH_S = 0.7
 
 
 @frozen
