Limits on clients follow the configuration: sizes, time for a head, idle time

Cause: only the idle timeout did; sizes kept their defaults and a slow head ended with the idle timeout. waitress reads its limits at each request, so they are set when a configuration comes in force; a head that is late counts as idle for the rest of the idle timeout.

--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -161,7 +161,7 @@
     def _apply_limits(self) -> None:
         table = self._routes.table()
         if table is not None:
-            self._server.set_idle_timeout(table.limits.idle_timeout_s)
+            self._server.set_limits(table.limits)
 
 
 def make_client_frontend(kernel: Kernel, settings: FleetSettings) -> LimitedFrontend:
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -14,6 +14,7 @@
 from dotterelpier.clients.http_connection import is_readable, parse_address
 from dotterelpier.errors import SettingsError
 from dotterelpier.frontends.strict_http import StrictChannel
+from dotterelpier.model.route import ClientLimits
 from dotterelpier.protocols import TaskKind, Tasks
 
 Environ = dict[str, Any]
@@ -162,10 +163,19 @@
         """Close each connection after its next answer, and say so in the answer."""
         self._server.closes_after_answers = True
 
-    def set_idle_timeout(self, seconds: float) -> None:
-        """Close idle connections after this time from now on."""
-        self._server.adj.channel_timeout = seconds
-        self._server.adj.cleanup_interval = min(CLEANUP_INTERVAL_S, seconds / 4)
+    def set_limits(self, limits: ClientLimits) -> None:
+        """Hold clients to these limits from now on."""
+        adjustments = self._server.adj
+        adjustments.max_request_header_size = limits.header_bytes
+        # waitress refuses a body that reaches its limit.
+        adjustments.max_request_body_size = limits.body_bytes + 1
+        adjustments.channel_timeout = limits.idle_timeout_s
+        # Read by StrictChannel; waitress has one timeout for all that is late.
+        adjustments.header_timeout = limits.header_timeout_s
+        shortest_s = min(limits.idle_timeout_s, limits.header_timeout_s)
+        adjustments.cleanup_interval = min(CLEANUP_INTERVAL_S, shortest_s / 4)
+        # The time of the next cleanup follows from the former interval.
+        self._server.next_channel_cleanup = 0
 
     def stop_listening(self) -> None:
         """Accept no more connections, and close those that are idle.
--- a/dotterelpier/frontends/strict_http.py
+++ b/dotterelpier/frontends/strict_http.py
@@ -95,11 +95,21 @@
         """Take in data without prolonging a request that is arriving already."""
         arriving, since = self.request, self.arriving_since
         taken = super().received(data)
-        if self.request is not None and self.request is arriving:
-            self.last_activity = since
-        self.arriving_since = self.last_activity
+        request: Any = self.request
+        if request is None or request is not arriving:
+            since = self.last_activity
+        self.arriving_since = since
+        if request is not None:
+            self.last_activity = since - self._spent_s(request)
         return taken
 
+    def _spent_s(self, request: Any) -> float:
+        """Return what a request's head lacks of the time that waitress gives it."""
+        header_timeout_s = getattr(self.adj, "header_timeout", None)
+        if header_timeout_s is None or request.headers_finished:
+            return 0.0
+        return float(max(0.0, self.adj.channel_timeout - header_timeout_s))
+
 
 def _error(status: int, message: str) -> DotterelpierError:
     if status == INTERNAL_STATUS:
--- /dev/null
+++ b/tests/test_client_limits.py
@@ -0,0 +1,66 @@
+"""Limits on clients that change while a server runs."""
+
+import socket
+import time
+
+import pytest
+
+from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.frontends.http_server import make_http_server
+from dotterelpier.model.route import ClientLimits
+from dotterelpier.services.tasks import make_tasks
+from dotterelpier.settings import LimitSettings
+from tests.fleet_system import free_address
+
+TIMEOUT_S = 10.0
+HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+def application(environ, start_response):
+    body = environ["wsgi.input"].read()
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+@pytest.fixture
+def limited():
+    address, tasks = free_address(), make_tasks(LimitSettings())
+    server = make_http_server(application, address, 2, 1 << 20, 16384, tasks)
+    server.start()
+    limits = ClientLimits(
+        header_bytes=200, body_bytes=10, header_timeout_s=0.4, idle_timeout_s=4.0
+    )
+    server.set_limits(limits)
+    parsed = parse_address(address)
+    yield lambda: socket.create_connection((parsed.host, parsed.port), TIMEOUT_S)
+    server.stop()
+    tasks.stop()
+
+
+def status_of(connection: socket.socket, request: bytes) -> bytes:
+    connection.sendall(request)
+    return connection.recv(4096).split(b" ")[1]
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (HEAD + b"Content-Length: 10\r\n\r\n0123456789", b"200"),
+        (HEAD + b"Content-Length: 11\r\n\r\n0123456789a", b"413"),
+        (HEAD + b"X-Long: " + b"a" * 200 + b"\r\n\r\n", b"431"),
+    ],
+)
+def test_sizes_follow_the_limits_in_force(limited, request_bytes, status) -> None:
+    with limited() as connection:
+        assert status_of(connection, request_bytes) == status
+
+
+def test_head_that_does_not_arrive_in_time_ends_the_connection(limited) -> None:
+    with limited() as slow, limited() as idle:
+        assert status_of(idle, HEAD + b"Content-Length: 1\r\n\r\nx") == b"200"
+        began_at = time.monotonic()
+        slow.sendall(HEAD)
+        assert slow.recv(4096) == b""
+        assert time.monotonic() - began_at < 4.0
+        # An idle connection is kept for longer.
+        assert status_of(idle, HEAD + b"Content-Length: 1\r\n\r\nx") == b"200"
