--- a/dotterelpier/fleet/choosing.py
+++ b/dotterelpier/fleet/choosing.py
@@ -4,13 +4,13 @@
 
 from attrs import define, field, frozen
 
-from dotterelpier.fleet.condition import Condition
+from dotterelpier.fleet.condition import LAST_SLOT_PENALTY, Condition
 from dotterelpier.model.instance import Instance
 from dotterelpier.model.route import Route
 
 # Added to the expected time of a backend server in another zone, in multiples of the
 # usual work: bytes between zones have a price, those of large answers a high one.
-OTHER_ZONE_PENALTY = 0.4
+OTHER_ZONE_PENALTY = 0.65
 OTHER_ZONE_PENALTY_LARGE = 5.0
 # Added where its own health check speaks against it; the check may be wrong.
 UNHEALTHY_PENALTY = 2.0
@@ -25,6 +25,7 @@
 
     instance: Instance
     work_ratio: float
+    expected_time: float
     age_s: float
     busy: int
 
@@ -59,4 +60,6 @@
         score += OTHER_ZONE_PENALTY_LARGE if large else OTHER_ZONE_PENALTY
     if not condition.healthy:
         score += UNHEALTHY_PENALTY
+    if condition.takes_last_slot():
+        score += LAST_SLOT_PENALTY
     return score
--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -13,9 +13,12 @@
 UNKNOWN_RATIO = 2.0
 # Stretches of slow work last about half a second, so older figures tell little.
 FIGURES_FRESH_S = 0.7
-# Requests that may queue at a backend server beyond its slots. It queues more, but one
-# that is full may reset connections, and then nobody knows what ran.
-QUEUE_PER_SLOT = 1.0
+# Requests that may queue for each slot of a backend server at its usual work time; on a
+# slower one fewer, as they would wait for longer.
+QUEUE_PER_SLOT = 0.5
+# Added to the expected time where a request would take the last free slot, in multiples
+# of the usual work: some backend servers slow down when they are nearly full.
+LAST_SLOT_PENALTY = 0.4
 # Two failures in a row hold a backend server off; one alone may be chance.
 FAILURES_HELD = 1.5
 FAILURE_MEMORY = 0.7
@@ -102,9 +105,11 @@
         told = self.load.running + self.load.waiting
         return max(self.in_flight, told + self.sent_since - self.ended_since)
 
-    def has_room(self) -> bool:
+    def has_room(self, now: float) -> bool:
         """Tell whether one more request can be sent without overfilling it."""
-        return self.busy() < self.instance.slots * (1 + QUEUE_PER_SLOT)
+        slots = self.instance.slots
+        queue = int(slots * QUEUE_PER_SLOT / max(1.0, self.work_ratio(now)))
+        return self.busy() < slots + queue
 
     def work_ratio(self, now: float) -> float:
         """Return the expected work time, in multiples of the usual."""
@@ -120,6 +125,10 @@
         queued = max(0, self.busy() + 1 - slots)
         return self.work_ratio(now) * (1 + queued / slots)
 
+    def takes_last_slot(self) -> bool:
+        """Tell whether one more request would leave no slot free."""
+        return self.busy() + 1 >= self.instance.slots
+
     def doubt(self, now: float) -> None:
         """Require a new health check before anything is sent."""
         self.proven = False
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -10,11 +10,18 @@
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
 from dotterelpier.fleet.ranking import home
+from dotterelpier.fleet.usual_work import UsualWork
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import Instance, LoadFigures, Measurement
 from dotterelpier.model.route import Route
 from dotterelpier.protocols import Clock, ServiceName
-from dotterelpier.protocols.fleet import Conditions, Fleet, Registry, Routes
+from dotterelpier.protocols.fleet import (
+    Choice,
+    Conditions,
+    Fleet,
+    Registry,
+    Routes,
+)
 
 
 @define
@@ -26,6 +33,7 @@
     _registry: Registry
     _fleet: Fleet
     _chooser: ConditionChooser = field(factory=ConditionChooser)
+    _usual_work: UsualWork = field(factory=UsualWork)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
     _ids_by_service: dict[str, tuple[str, ...]] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
@@ -44,8 +52,10 @@
     def refresh(self) -> None:
         """Take in backend servers that came or went, and zones evacuated."""
         instances = self._registry.instances()
+        table = self._routes.table()
         now = self._clock.monotonic()
         with self._changed:
+            self._usual_work.keep(table.route_names() if table else ())
             before = self._condition_by_id
             self._condition_by_id = {
                 item.id: _renewed(before.get(item.id), item, now) for item in instances
@@ -65,9 +75,13 @@
         self._evacuated_ids = evacuated
 
     def pick(
-        self, service: str, route: Route, excluded: frozenset[str]
+        self, service: str, route: Route, excluded: frozenset[str], remaining_s: float
     ) -> ChosenInstance | None:
-        """Reserve a place at the best backend server, None if none has room."""
+        """Reserve a place at the best backend server.
+
+        Returns None if none has room, or none that has can answer in ``remaining_s``
+        seconds.
+        """
         table = self._routes.table()
         terms = table.terms_by_service.get(service) if table else None
         if terms is None:
@@ -75,6 +89,7 @@
         with self._changed:
             now = self._clock.monotonic()
             ids = self._ids_by_service.get(service, ())
+            usual_s = self._usual_work.seconds(route.name)
             candidates = [
                 self._condition_by_id[item]
                 for item in ids
@@ -84,7 +99,8 @@
                 item
                 for item in candidates
                 if item.usable()
-                and item.has_room()
+                and item.has_room(now)
+                and item.expected_time(now) * usual_s <= remaining_s
                 and self._may_warm_up(item, now, terms.warmup_per_s)
             ]
             trusted = [item for item in able if item.held_until <= now]
@@ -112,6 +128,7 @@
         chosen = ChosenInstance(
             condition.instance,
             condition.work_ratio(now),
+            condition.expected_time(now),
             now - condition.load_at if condition.load else math.inf,
             condition.busy(),
         )
@@ -146,6 +163,11 @@
                 until=round(condition.held_until, 3),
             )
 
+    def note_answer(self, route: Route, choice: Choice, duration_s: float) -> None:
+        """Take in how long a successful answer took."""
+        with self._changed:
+            self._usual_work.note(route.name, duration_s, choice.expected_time)
+
     def note_load(self, instance_id: str, load: LoadFigures) -> None:
         """Take in the load that came with an answer."""
         self._take_load(instance_id, load, self._clock.monotonic())
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -144,7 +144,10 @@
 
     def _send(self, run: Run) -> bool:
         """Send to the best backend server not yet tried; return False if none can."""
-        choice = self._conditions.pick(run.service, run.route, frozenset(run.tried))
+        remaining_s = run.deadline_at - self._clock.monotonic()
+        choice = self._conditions.pick(
+            run.service, run.route, frozenset(run.tried), remaining_s
+        )
         if choice is None:
             return False
         instance = choice.instance
@@ -185,6 +188,8 @@
         self._conditions.note_ended(attempt.peer, not failed)
         run.possibly_run += 1
         if not failed:
+            duration_s = self._clock.monotonic() - attempt.sent_at
+            self._conditions.note_answer(run.route, attempt.choice, duration_s)
             return _reply(answer)
         run.failure = answer
         run.error = AnswerLostError(
--- a/dotterelpier/model/route.py
+++ b/dotterelpier/model/route.py
@@ -129,6 +129,14 @@
     terms_by_service: Mapping[str, ServiceTerms] = field(repr=False)
     limits: ClientLimits = ClientLimits()
 
+    def route_names(self) -> frozenset[str]:
+        """Return the names of all routes."""
+        return frozenset(
+            route.name
+            for route_by_prefix in self.route_by_prefix_by_host.values()
+            for route in route_by_prefix.values()
+        )
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, None if there is none."""
         route_by_prefix = self.route_by_prefix_by_host.get(host)
--- a/dotterelpier/protocols/fleet/knowledge.py
+++ b/dotterelpier/protocols/fleet/knowledge.py
@@ -101,9 +101,17 @@
     """What is known of each backend server at this moment."""
 
     def pick(
-        self, service: str, route: Route, excluded: frozenset[str]
+        self, service: str, route: Route, excluded: frozenset[str], remaining_s: float
     ) -> "Choice | None":
-        """Reserve a place at the best backend server, None if none has room."""
+        """Reserve a place at the best backend server.
+
+        Returns None if none has room, or none that has can answer in ``remaining_s``
+        seconds.
+        """
+        ...
+
+    def note_answer(self, route: Route, choice: "Choice", duration_s: float) -> None:
+        """Take in how long a successful answer took."""
         ...
 
     def wait_for_room(self, timeout_s: float) -> None:
@@ -162,6 +170,11 @@
         """Return its work ratio at the time of the choice."""
         ...
 
+    @property
+    def expected_time(self) -> float:
+        """Return the expected time to an answer, in multiples of the usual work."""
+        ...
+
     @property
     def age_s(self) -> float:
         """Return the age of what was known of it, in seconds."""
