--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -46,7 +46,7 @@
 # Share of the objective after which an idempotent request is sent to a second backend
 # server although the first does not look slow.
 HEDGE_SHARE = 0.6
-# A second sending is worth its cost only if it can end within the objective.
+# Later than this share of the objective no second sending can end within it.
 HEDGE_LATEST_SHARE = 0.75
 # Less time left than this does not suffice for another sending.
 LEAST_TIME_S = 0.02
@@ -142,9 +142,12 @@
                 raise OverloadedError(message, step=STEP, peer=run.service)
             self._conditions.wait_for_room(remaining_s)
 
-    def _send(self, run: Run) -> bool:
-        """Send to the best backend server not yet tried; return False if none can."""
-        remaining_s = run.deadline_at - self._clock.monotonic()
+    def _send(self, run: Run, due_at: float | None = None) -> bool:
+        """Send to the best backend server not yet tried; return False if none can.
+
+        One that cannot answer by ``due_at``, the deadline by default, is left out.
+        """
+        remaining_s = (due_at or run.deadline_at) - self._clock.monotonic()
         choice = self._conditions.pick(
             run.service, run.route, frozenset(run.tried), remaining_s
         )
@@ -225,7 +228,7 @@
             error=error.message,
         )
 
-    def _send_again(self, run: Run) -> bool:
+    def _send_again(self, run: Run, due_at: float | None = None) -> bool:
         """Send once more where that is allowed, of use and within the budget."""
         if not run.may_repeat or run.sent >= run.route.max_attempts:
             return False
@@ -234,20 +237,23 @@
         if not self._budget.take(run.service):
             self._metrics.count("retries_denied", service=run.service)
             return False
-        sent = self._send(run)
-        if sent:
-            self._metrics.count("retries", service=run.service)
-        return sent
+        if not self._send(run, due_at):
+            self._budget.give_back(run.service)
+            return False
+        self._metrics.count("retries", service=run.service)
+        return True
 
     def _hedge(self, run: Run, slow: Attempt, reason: str) -> None:
         """Send to a second backend server while the first one is at work."""
         if run.hedged or slow not in run.pending or not run.route.idempotent:
             return
-        elapsed_s = self._clock.monotonic() - run.request.arrived_at
-        if elapsed_s > run.route.target_s * HEDGE_LATEST_SHARE:
+        now = self._clock.monotonic()
+        if now - run.request.arrived_at > run.route.target_s * HEDGE_LATEST_SHARE:
             return
         run.hedged = True
-        if self._send_again(run):
+        # A second sending is worth its cost only if it can end within the objective.
+        due_at = min(run.request.arrived_at + run.route.target_s, run.deadline_at)
+        if self._send_again(run, due_at):
             self._metrics.count("hedges", service=run.service)
             logger.info(
                 "second attempt beside the first",
--- a/dotterelpier/fleet/retry_budget.py
+++ b/dotterelpier/fleet/retry_budget.py
@@ -59,6 +59,13 @@
             window.repeats.append(self._clock.monotonic())
             return True
 
+    def give_back(self, service: str) -> None:
+        """Give back a further sending that found no backend server."""
+        with self._lock:
+            repeats = self._window(service).repeats
+            if repeats:
+                repeats.pop()
+
     def _window(self, service: str) -> _Window:
         window = self._window_by_service.setdefault(service, _Window())
         window.expire(self._clock.monotonic() - self._bounds.retry_window_s)
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -121,6 +121,10 @@
         """Take one further sending out of the budget, if there is one."""
         ...
 
+    def give_back(self, service: str) -> None:
+        """Give back a further sending that found no backend server."""
+        ...
+
 
 class Forwarding(Protocol):
     """Serves requests."""
