--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -207,6 +207,12 @@
         measurement = Measurement(instance_id, now, unreachable=reason)
         self._take_unreachable(measurement, own=True)
 
+    def is_proven(self, instance_id: str) -> bool:
+        """Tell whether a health check was answered since there was reason for doubt."""
+        with self._changed:
+            condition = self._condition_by_id.get(instance_id)
+            return condition is not None and condition.proven
+
     def check_wanted(self, instance_id: str, fresh_s: float) -> bool:
         """Tell whether no other entry's result within ``fresh_s`` suffices."""
         with self._changed:
--- a/dotterelpier/fleet/liveness.py
+++ b/dotterelpier/fleet/liveness.py
@@ -105,13 +105,22 @@
         return [
             member
             for member in members
-            if member.name != me and me in _watchers_of(member, members)
+            if member.name != me and me in watchers_of(member, members)
         ]
 
 
-def _watchers_of(member: FleetMember, members: tuple[FleetMember, ...]) -> list[str]:
-    others = [item for item in members if item.name != member.name]
-    return [item.name for item in rank(member.name, others)[:WATCHERS]]
+def watchers_of(member: FleetMember, members: tuple[FleetMember, ...]) -> list[str]:
+    """Return the names of the entries that watch one, of different zones if possible.
+
+    An entry whose watchers are all lost with it would be noticed only after they are.
+    """
+    others = rank(member.name, (item for item in members if item.name != member.name))
+    first_by_zone: dict[str, FleetMember] = {}
+    for item in others:
+        first_by_zone.setdefault(item.zone, item)
+    firsts = list(first_by_zone.values())
+    rest = [item for item in others if item not in firsts]
+    return [item.name for item in (*firsts, *rest)[:WATCHERS]]
 
 
 def make_liveness(kernel: Kernel) -> RingLiveness:
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -23,8 +23,11 @@
 # Work time at a backend server changes several times a second.
 HOME_INTERVAL_S = 0.1
 NEAR_INTERVAL_S = 0.25
-# Backend servers of other zones get requests only where the own zone lacks room.
-FAR_INTERVAL_S = 2.0
+# Backend servers of other zones get requests only where the own zone lacks room; these
+# checks tell that they can be reached, and their registrations that they left.
+FAR_INTERVAL_S = 8.0
+# One that was not checked since there was reason for doubt cannot be used before.
+UNPROVEN_INTERVAL_S = 1.0
 # Share of the agreed health checks that is used, so that entries that come and go
 # together stay below them.
 PROBE_SHARE = 0.6
@@ -79,7 +82,10 @@
 
     def _pause_s(self, duty: Duty) -> float:
         """Wait for the next multiple, so that results of a home go out together."""
-        return duty.interval_s - self._clock.monotonic() % duty.interval_s
+        interval_s = duty.interval_s
+        if not self._conditions.is_proven(self.instance.id):
+            interval_s = min(interval_s, UNPROVEN_INTERVAL_S)
+        return interval_s - self._clock.monotonic() % interval_s
 
     def _check(self, duty: Duty) -> None:
         table = self._routes.table()
--- a/dotterelpier/protocols/fleet/knowledge.py
+++ b/dotterelpier/protocols/fleet/knowledge.py
@@ -138,6 +138,10 @@
         """Take in that this entry cannot open a connection to a backend server."""
         ...
 
+    def is_proven(self, instance_id: str) -> bool:
+        """Tell whether a health check was answered since there was reason for doubt."""
+        ...
+
     def check_wanted(self, instance_id: str, fresh_s: float) -> bool:
         """Tell whether no other entry's result within ``fresh_s`` suffices."""
         ...
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -334,6 +334,15 @@
             if self.budgets[entry % len(self.budgets)].take("svc"):
                 self.repeats.append(self.clock.now)
 
+    @rule(entry=st.integers(0, 5))
+    def repeat_in_vain(self, entry: int) -> None:
+        """Give back what found no backend server, and no more than that."""
+        budget = self.budgets[entry % len(self.budgets)]
+        if budget.take("svc"):
+            budget.give_back("svc")
+            assert budget.take("svc")
+            self.repeats.append(self.clock.now)
+
     @rule(seconds=st.floats(0.1, 12.0))
     def wait(self, seconds: float) -> None:
         self.clock.advance(seconds)
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -1,21 +1,22 @@
 """Entries that do not answer are removed, and only those."""
 
 import threading
+from collections import Counter
 
 import pytest
 
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet import liveness
-from dotterelpier.fleet.liveness import RingLiveness, Watch
+from dotterelpier.fleet.liveness import RingLiveness, Watch, watchers_of
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
 from tests.utils import wait_until
 
 
-def member(number: int) -> FleetMember:
+def member(number: int, zone: str = "a") -> FleetMember:
     name = f"e-{number}"
-    return FleetMember(name, "a", f"{name}:1", f"{name}:2", "x")
+    return FleetMember(name, zone, f"{name}:1", f"{name}:2", "x")
 
 
 class World:
@@ -116,3 +117,17 @@
     wait_until(lambda: not made._watch_by_name, "nobody is left to watch")
     made.stop()
     tasks.stop()
+
+
+def test_no_zone_holds_all_that_watch_an_entry() -> None:
+    members = tuple(member(number, "abc"[number % 3]) for number in range(15))
+    zone_by_name = {item.name: item.zone for item in members}
+    watched = Counter[str]()
+    for item in members:
+        watchers = watchers_of(item, members)
+        assert {zone_by_name[name] for name in watchers} == set("abc")
+        assert item.name not in watchers
+        watched.update(watchers)
+    assert max(watched.values()) <= 9
+    alone = watchers_of(members[0], members[:2])
+    assert alone == ["e-1"]
