Connections idle for over a quarter of a second carry no non-idempotent request

Tests: addresses of in-process entries are on a host of the process: one run failed with 'Address already in use' as another connection had taken the port in between.

--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -56,6 +56,9 @@
     ----------
     connect_timeout_s : float
         Longest wait for a new connection, in seconds.
+    proved_for_s : float
+        Idle time up to which a connection is used for what must not be lost, in
+        seconds.
     open_ends : bool
         Whether an answer may declare no length and end with its connection.
     extra_bytes_allowed : bool
@@ -66,6 +69,7 @@
     """
 
     connect_timeout_s: float = CONNECT_TIMEOUT_S
+    proved_for_s: float = JUST_PROVED_S
     open_ends: bool = False
     extra_bytes_allowed: bool = False
     skips_strays: bool = False
@@ -545,7 +549,8 @@
             idle = self._idle_by_address.get(address)
             while idle and idle[-1].usable_until < now:
                 idle.pop().put(None)
-            if not idle or (fresh and idle[-1].proved_at < now - JUST_PROVED_S):
+            oldest = now - self.rules.proved_for_s
+            if not idle or (fresh and idle[-1].proved_at < oldest):
                 return False
             idle.pop().put(exchange)
             return True
--- a/dotterelpier/clients/instances.py
+++ b/dotterelpier/clients/instances.py
@@ -39,12 +39,19 @@
 # Idle connections that last used longer ago are closed; backend servers close them
 # after 10 s or sooner.
 IDLE_S = 4.0
+# Backend servers may drop a connection without a sign after a third of a second; what
+# must not be lost uses one that is idle for less.
+PROVED_FOR_S = 0.25
 # Answers are passed on whole, so that one that breaks off can be sent for again.
 WHOLE_ANSWER_BYTES = 16 << 20
 MAX_HEALTH_BODY_BYTES = 4096
 
 RULES = ConnectionRules(
-    CONNECT_TIMEOUT_S, open_ends=True, extra_bytes_allowed=True, skips_strays=True
+    CONNECT_TIMEOUT_S,
+    PROVED_FOR_S,
+    open_ends=True,
+    extra_bytes_allowed=True,
+    skips_strays=True,
 )
 
 
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -1,6 +1,7 @@
 """A fleet's entry in this process, with stand-ins for the store and the servers."""
 
 import itertools
+import os
 import socket
 from collections.abc import Iterable
 from typing import Any
@@ -24,12 +25,19 @@
 SIGNATURE = "X-Dotterelpier-Server-Signature"
 NOT_RUN = "X-Dotterelpier-Not-Executed: 1"
 ZONE = "zone-a"
+# Second number of the loopback addresses that one process listens on.
+OWN_NET = 200
 
 
 def free_address() -> str:
-    """Return an address of this machine that nothing listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    """Return an address of this machine that nothing listens on.
+
+    Each process has a host of its own, so that connections of others, which leave from
+    127.0.0.1, do not take the port in between.
+    """
+    host = f"127.{OWN_NET}.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+    with socket.create_server((host, 0)) as listener:
+        return f"{host}:{listener.getsockname()[1]}"
 
 
 def attempt_of(request: ReceivedRequest) -> str:
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
@@ -29,11 +30,16 @@
 
 @define
 class ScriptedServer:
-    """Sends what ``script`` yields; closes the connection after an empty piece."""
+    """Sends what ``script`` yields; closes the connection after an empty piece.
+
+    A request on a connection that was idle for longer than ``forgets_after_s`` gets no
+    answer: the server has forgotten the connection without a sign.
+    """
 
     script: Script
     received: list[ReceivedRequest] = field(factory=list)
     cancelled: list[str] = field(factory=list)
+    forgets_after_s: float = float("inf")
     closed: threading.Semaphore = field(factory=lambda: threading.Semaphore(0))
     address: str = field(init=False)
     _listener: socket.socket = field(init=False)
@@ -66,7 +72,10 @@
     def _serve(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with connection, connection.makefile("rb") as stream:
+            idle_since = time.monotonic()
             while (request := _read_request(stream)) is not None:
+                if time.monotonic() - idle_since > self.forgets_after_s:
+                    return
                 for piece in self._answer(request):
                     if not piece:
                         return
@@ -74,6 +83,7 @@
                         connection.sendall(piece)
                     except OSError:
                         return
+                idle_since = time.monotonic()
 
     def _answer(self, request: ReceivedRequest) -> Iterable[bytes]:
         if request.method == "DELETE" and request.target.startswith("/attempts/"):
--- a/tests/test_fleet_requests.py
+++ b/tests/test_fleet_requests.py
@@ -90,6 +90,15 @@
     assert len(first.runs) + len(second.runs) == 1
 
 
+def test_forgotten_connection_does_not_lose_a_non_idempotent_request(system) -> None:
+    instance = ScriptedInstance("i-1", "svc", whole)
+    served(system, instance, kind="non_idempotent")
+    instance.server.forgets_after_s = 0.3
+    for _ in range(2):
+        assert system.send("/a/x", "POST", b"body").status == 200
+        time.sleep(0.4)
+
+
 def test_refusal_is_tried_elsewhere_and_then_told_as_not_run(system) -> None:
     refusing = [
         ScriptedInstance(f"i-{number}", "svc", lambda received: [refusal()])
