--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 MANIFEST ?= examples/caroni.toml
 
-.PHONY: setup format lint types pytest test demo prove bench bench-quick binary proto
+.PHONY: setup format lint types pytest test demo prove soak bench bench-quick binary proto
 
 setup: $(VENV)/.stamp
 
@@ -12,12 +12,12 @@
 	touch $@
 
 format: setup
-	$(PYTHON) -m ruff format dotterelpier tests bench scripts
-	$(PYTHON) -m ruff check --fix dotterelpier tests bench scripts
+	$(PYTHON) -m ruff format dotterelpier tests bench scripts soak
+	$(PYTHON) -m ruff check --fix dotterelpier tests bench scripts soak
 
 lint: setup
-	$(PYTHON) -m ruff format --check dotterelpier tests bench scripts
-	$(PYTHON) -m ruff check dotterelpier tests bench scripts
+	$(PYTHON) -m ruff format --check dotterelpier tests bench scripts soak
+	$(PYTHON) -m ruff check dotterelpier tests bench scripts soak
 
 types: setup
 	$(PYTHON) -m mypy
@@ -35,6 +35,9 @@
 		--grpc_python_out=. dotterelpier/wire/peers.proto \
 		dotterelpier/wire/fleet.proto
 
+soak: setup
+	$(PYTHON) -m soak
+
 prove: setup
 	$(PYTHON) -m tests.prove $(P)
 
--- /dev/null
+++ b/soak/configuration.py
@@ -0,0 +1,62 @@
+"""Checks at every entry that configurations come into force and never go back."""
+
+import http.client
+import threading
+
+from attrs import define, field
+
+from soak.record import CONFIGURATION_S, Record
+from soak.world import World
+from tests.fleet_processes import EntryProcess
+from tests.fleet_system import HOST, ID
+from tests.utils import request
+
+PAUSE_S = 0.2
+STATUS_NO_ROUTE = 404
+
+
+@define(eq=False)
+class ConfigurationProbe:
+    """Asks each entry for the route that only the newest version has."""
+
+    world: World
+    record: Record
+    timed: bool
+    # The newest version that a process showed to be in force there.
+    version_by_process: dict[int, int] = field(factory=dict)
+    _asked: int = 0
+
+    def run(self, stopping: threading.Event) -> None:
+        """Ask until told to stop."""
+        while not stopping.wait(PAUSE_S):
+            for entry in self.world.entries.entries:
+                self._ask(entry)
+
+    def _ask(self, entry: EntryProcess) -> None:
+        process, version = entry.process.pid, self.world.version
+        configured_at, asked_at = self.world.configured_at, self.record.now()
+        self._asked += 1
+        headers = {"Host": HOST, ID: f"probe-{self._asked}"}
+        try:
+            target = f"/v{version}/x"
+            address = entry.address_by_use["caller"]
+            status = request(address, "GET", target, None, headers, 2.0).status
+        except (OSError, http.client.HTTPException):
+            # An entry that is gone tells nothing of its configuration.
+            return
+        if process != entry.process.pid or version != self.world.version:
+            return
+        if status != STATUS_NO_ROUTE:
+            if status == 200:
+                self.version_by_process[process] = version
+            return
+        detail = f"{entry.name} knows no route of version {version}"
+        if self.version_by_process.get(process, 0) >= version:
+            self.record.note_broken("configuration goes back", detail)
+        late = asked_at > configured_at + CONFIGURATION_S
+        if self.timed and late and self._calm(configured_at, asked_at):
+            self.record.note_broken("configuration in force", detail)
+
+    def _calm(self, begin: float, end: float) -> bool:
+        open_faults = self.world.open_faults
+        return not open_faults and self.record.in_touch(begin, end)
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -27,17 +27,24 @@
 ZONE = "zone-a"
 # Second number of the loopback addresses that one process listens on.
 OWN_NET = 200
+_ports = itertools.count(10_000)
 
 
 def free_address() -> str:
     """Return an address of this machine that nothing listens on.
 
-    Each process has a host of its own, so that connections of others, which leave from
-    127.0.0.1, do not take the port in between.
+    Each process has a host of its own and hands out each port once, below the range
+    from which the kernel takes ports for connections.
     """
     host = f"127.{OWN_NET}.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
-    with socket.create_server((host, 0)) as listener:
-        return f"{host}:{listener.getsockname()[1]}"
+    while True:
+        port = next(_ports)
+        try:
+            socket.create_server((host, port)).close()
+        except OSError:
+            # Left listening by an earlier process with this number.
+            continue
+        return f"{host}:{port}"
 
 
 def attempt_of(request: ReceivedRequest) -> str:
--- a/tests/standins/http_handler.py
+++ b/tests/standins/http_handler.py
@@ -1,6 +1,7 @@
 """Request handler shared by the stand-ins."""
 
 import json
+import sys
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
@@ -12,6 +13,11 @@
     request_queue_size = 1024
     allow_reuse_address = True
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Pass over clients that reset their connection, as tests make them do."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
 
 class StandInHandler(BaseHTTPRequestHandler):
     """HTTP/1.1 with buffered answers and no access log."""
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,100 +1,45 @@
 """Entries of a fleet as processes: planned stop under load, and a killed entry."""
 
 import http.client
-import json
-import os
 import signal
 import subprocess
 import sys
 import threading
 from collections import Counter
+from typing import Any
 
 import pytest
-from attrs import define, field
-
-from tests.fleet_system import (
-    HOST,
-    ID,
-    ScriptedInstance,
-    answer,
-    config,
-    free_address,
-    route,
-)
+from attrs import define
+
+from tests.fleet_processes import EntryProcess, EntryProcesses
+from tests.fleet_system import HOST, ID, ScriptedInstance, answer, config, route
 from tests.standins.row_store import start_row_store
 from tests.utils import ROOT, request, wait_until
 
-GRACE_S = 2.0
 CLIENTS = 6
 END_TIMEOUT_S = 30.0
-ADDRESSES = ("caller", "readiness", "directory", "peer", "metrics")
 
 
 @define(eq=False)
-class EntryProcess:
-    """One entry."""
-
-    name: str
-    address_by_use: dict[str, str]
-    process: subprocess.Popen
-    log: str
-
-    def ready(self) -> bool:
-        try:
-            page = request(self.address_by_use["readiness"], "GET", "/readiness")
-        except OSError:
-            return False
-        return page.status == 200
-
-    def named_by(self, other: "EntryProcess") -> bool:
-        """Tell whether the directory of another entry names this one."""
-        target = f"/resolve?name={HOST}&region=r&zone=zone-a"
-        page = request(other.address_by_use["directory"], "GET", target)
-        return self.address_by_use["caller"] in json.loads(page.body)["addresses"]
+class Processes(EntryProcesses):
+    """Entries and the store that they use."""
 
-
-@define(eq=False)
-class Processes:
-    """A store, a backend server and entries; ended by their ids."""
-
-    folder: object
     store_address: str = ""
-    state: object = None
-    entries: list[EntryProcess] = field(factory=list)
-
-    def start(self, name: str) -> EntryProcess:
-        uses = {use: free_address() for use in ADDRESSES}
-        lines = ["[entry]", f'name = "{name}"', 'zone = "zone-a"']
-        lines += [f'{use}_address = "{address}"' for use, address in uses.items()]
-        lines += ["[store]", f'address = "{self.store_address}"']
-        lines += ["[bounds]", f"grace_s = {GRACE_S}", "retry_slack = 50"]
-        settings = self.folder / f"{name}.toml"
-        settings.write_text("\n".join(lines))
-        log = self.folder / f"{name}.log"
-        command = [sys.executable, "-m", "dotterelpier", "serve"]
-        process = subprocess.Popen(
-            [*command, "--settings", str(settings)],
-            cwd=ROOT,
-            stdout=log.open("w"),
-            stderr=subprocess.STDOUT,
-            env={**os.environ, "PYTHONPATH": str(ROOT)},
-        )
-        entry = EntryProcess(name, uses, process, str(log))
-        self.entries.append(entry)
-        wait_until(entry.ready, f"{name} is ready")
-        return entry
+    state: Any = None
+
+    def start_entry(self, name: str) -> EntryProcess:
+        """Start an entry of the fleet."""
+        return self.start(name, self.store_address)
 
 
 @pytest.fixture
 def processes(tmp_path):
     address, state = start_row_store()
-    made = Processes(tmp_path, address, state)
+    made = Processes(tmp_path, store_address=address, state=state)
     routes = {"r": route("/a/", "svc", kind="non_idempotent")}
     state.put_json("op", "config", config(1, routes, "svc"))
     yield made
-    for entry in made.entries:
-        entry.process.kill()
-        entry.process.wait()
+    made.stop()
 
 
 def slow(received):
@@ -135,7 +80,7 @@
 def test_planned_stop_cuts_no_request(processes) -> None:
     instance = ScriptedInstance("i-1", "svc", slow)
     processes.state.put_json("servers", "i-1", instance.row())
-    leaver, stayer = processes.start("entry-1"), processes.start("entry-2")
+    leaver, stayer = processes.start_entry("entry-1"), processes.start_entry("entry-2")
     wait_until(lambda: leaver.named_by(stayer), "the entries know each other")
     leaving, outcomes = threading.Event(), Counter()
     clients = [
@@ -163,7 +108,7 @@
 def test_killed_entry_is_removed_by_the_others(processes) -> None:
     instance = ScriptedInstance("i-1", "svc", slow)
     processes.state.put_json("servers", "i-1", instance.row())
-    killed, stayer = processes.start("entry-1"), processes.start("entry-2")
+    killed, stayer = processes.start_entry("entry-1"), processes.start_entry("entry-2")
     wait_until(lambda: killed.named_by(stayer), "the entries know each other")
     killed.process.kill()
     killed.process.wait()
@@ -174,7 +119,7 @@
 def test_log_explains_a_request(processes, capsys) -> None:
     instance = ScriptedInstance("i-1", "svc", slow)
     processes.state.put_json("servers", "i-1", instance.row())
-    entry = processes.start("entry-1")
+    entry = processes.start_entry("entry-1")
     wait_until(lambda: instance_serves(entry), "the server is used")
     headers = {"Host": HOST, ID: "wanted"}
     request(entry.address_by_use["caller"], "POST", "/a/x", b"", headers)
