--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,10 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
 from soak.proxy import Path
+from soak.record import EVACUATION_S
 from soak.world import SLOW_WORK_S, WORK_S, ZONES, World
 from tests.fleet_processes import EntryProcess
 
@@ -27,6 +28,7 @@
 
     world: World
     stopping: threading.Event
+    _one_evacuation: threading.Lock = field(factory=threading.Lock)
 
     def names(self) -> tuple[str, ...]:
         """Return all kinds, in a fixed order."""
@@ -55,6 +57,7 @@
             "server path": self._harm_server_path,
             "server crashed": self._crash,
             "server slow": self._slow,
+            "answers lost": self._lose_answers,
             "planned configuration": self._configure,
             "planned evacuation": self._evacuate,
             "planned leaving": self._leave,
@@ -125,16 +128,26 @@
         self._wait(duration_s)
         server.work_s = WORK_S
 
+    def _lose_answers(self, duration_s: float, chance: random.Random) -> None:
+        server = chance.choice(self.world.servers)
+        server.loses_answers = True
+        self._wait(duration_s)
+        server.loses_answers = False
+
     def _configure(self, duration_s: float, chance: random.Random) -> None:
         self.world.change_configuration()
 
     def _evacuate(self, duration_s: float, chance: random.Random) -> None:
+        if not self._one_evacuation.acquire(blocking=False):
+            # Two at once would leave nothing that serves.
+            return
         zone, record = chance.choice(ZONES), self.world.record
         self.world.state.put("op", f"evacuate/{zone}", b"{}")
         began_at = record.now()
-        self._wait(duration_s)
+        self._wait(EVACUATION_S + duration_s)
         record.evacuations.append((zone, began_at, record.now()))
         self.world.state.put("op", f"evacuate/{zone}", None)
+        self._one_evacuation.release()
 
     def _leave(self, duration_s: float, chance: random.Random) -> None:
         server = chance.choice(self.world.servers)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,11 +11,15 @@
 
 from soak.callers import Caller
 from soak.configuration import ConfigurationProbe
-from soak.faults import Faults
+from soak.faults import PLANNED, Faults
 from soak.record import Broken, Record
 from soak.world import World
 
-CALLERS = 6
+CALLERS = 16
+# Phases take turns: in a calm one only planned work goes on, so that the promises with
+# a bound in time hold in it.
+CALM_S = 8.0
+STORM_S = 8.0
 FAULT_PAUSE_S = (0.2, 2.0)
 FAULT_DURATION_S = (0.3, 3.0)
 # Every entry takes requests again within this time after the last fault.
@@ -123,12 +127,14 @@
     """Return the faults of a seed in their order."""
     chance = random.Random(seed)
     planned, at = [], 0.0
+    calm_names = tuple(name for name in names if name.startswith(PLANNED))
     while at < seconds:
         pause_s = chance.uniform(*FAULT_PAUSE_S)
         at += pause_s
+        calm = at % (CALM_S + STORM_S) < CALM_S
         planned.append(
             PlannedFault(
-                chance.choice(names),
+                chance.choice(calm_names if calm else names),
                 pause_s,
                 chance.uniform(*FAULT_DURATION_S),
                 chance.getrandbits(32),
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,7 +14,7 @@
 from tests.standins.row_store import RowStoreState, start_row_store
 
 ZONES = ("zone-a", "zone-b")
-WORK_S = 0.02
+WORK_S = 0.05
 SLOW_WORK_S = 0.4
 
 
@@ -25,6 +25,7 @@
     instance: ScriptedInstance
     proxy: Proxy
     work_s: float = WORK_S
+    loses_answers: bool = False
 
 
 @define(eq=False)
@@ -120,4 +121,6 @@
             run = Run(request_id, instance.id, instance.zone, self.record.now())
             self.record.note_run(run)
         time.sleep(server.work_s)
+        if server.loses_answers:
+            return [b""]
         return [answer(received, answer_body(request_id))]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,8 @@
 from tests.fleet_system import ScriptedInstance, answer
 from tests.utils import request
 
-SECONDS = 6.0
+# The calm phase and the beginning of the one with faults.
+SECONDS = 12.0
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -27,7 +28,7 @@
 
 
 def test_plan_follows_from_its_seed() -> None:
-    names = ("a", "b", "c")
+    names = ("a", "b", "planned c")
     assert plan(3, 20.0, names) == plan(3, 20.0, names)
     assert plan(3, 20.0, names) != plan(4, 20.0, names)
 
