--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,9 @@
 SECONDS = 12.0
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+# Seed 1: two addresses of an entry were alike; seeds 200 and 201: the soak took one
+# zone out twice at once. The pages of the soak tell more.
+@pytest.mark.parametrize("seed", [1, 200, 201])
 def test_promises_hold_through_faults(seed: int) -> None:
     verdict = run_soak(seed, SECONDS, entries=3, servers=4, timed=False)
     assert verdict.broken == (), verdict
