--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -22,7 +22,7 @@
 # The sentinel notices within this time that the store stopped answering; that of a
 # keeper sooner, as others rely on it.
 SENTINEL_WAIT_S = 2.5
-KEEPER_WAIT_S = 1.0
+KEEPER_WAIT_S = 0.7
 # A connection that went silent for good is noticed within this time; the store holds a
 # watch for 30 s at most.
 WATCH_WAIT_S = 5.0
@@ -31,7 +31,7 @@
 KEEPER_RETRY_S = 0.5
 RETRY_S = 1.0
 # Longest wait for an announcement before the store is asked.
-ANNOUNCEMENT_WAIT_S = 0.5
+ANNOUNCEMENT_WAIT_S = 0.3
 # Time for which a keeper that the store turned away asks the other keepers.
 STORE_AVOIDED_S = 2.0
 # Pause after a failure of this connection alone, while others reach the store.
@@ -70,6 +70,8 @@
     _tasks: Tasks
     _cursor: int | None = None
     _store_avoided_until: float = float("-inf")
+    # Whether the others failed to tell what changed, so that the store is asked next.
+    _store_wanted: bool = False
     _stopped: threading.Event = field(factory=threading.Event)
 
     def start(self) -> None:
@@ -91,6 +93,7 @@
                 logger.info("table is read anew", table=self.table, after=self._cursor)
                 self._cursor = None
             except PeerUnavailableError as error:
+                self._store_wanted = True
                 logger.info(
                     "table not told",
                     table=self.table,
@@ -113,7 +116,8 @@
             self._stopped.wait(self.gather_s)
 
     def _next(self) -> StoreReply:
-        if self._asks_others():
+        asks_others, self._store_wanted = self._asks_others(), False
+        if asks_others:
             after = -1 if self._cursor is None else self._cursor
             return self._mirrors.watch(self.table, after, WATCH_WAIT_S)
         if self._cursor is None:
@@ -125,6 +129,8 @@
 
     def _asks_others(self) -> bool:
         """Tell whether the table is kept by others, and need not be kept here."""
+        if self._store_wanted:
+            return False
         if self._mirrors.is_keeper():
             avoided = self._clock.monotonic() < self._store_avoided_until
             return avoided and self._mirrors.kept_by_others()
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -32,22 +32,21 @@
 
 STEP = "mirrors"
 ANNOUNCE_INTERVAL_S = 0.25
-# Two announcements may be lost before a keeper counts as silent.
-ANNOUNCEMENT_FRESH_S = 0.8
-# A keeper announces only while the store answered it within this time; its shortest
-# watch ends sooner.
-STORE_FRESH_S = 2.0
+# What a keeper knows counts for this long after the store answered it: well below the
+# time in which a change must be in force, and above the keeper's shortest watch with
+# one announcement lost.
+KNOWLEDGE_FRESH_S = 1.3
 # In a fleet of one zone a second entry keeps the tables too.
 LEAST_KEEPERS = 2
 
 
 @frozen
 class Heard:
-    """The last announcement of a keeper, and when it came."""
+    """The last announcement of a keeper, and when the store had answered it."""
 
     member: FleetMember
     versions_by_table: dict[str, TableVersions]
-    at: float
+    known_at: float
 
 
 @define
@@ -148,10 +147,11 @@
                 ahead = [item for item in fresh if _changed(item, table) > after]
                 if ahead:
                     return self._nearest(ahead)
-                remaining_s = until - self._clock.monotonic()
-                if remaining_s <= 0:
+                now = self._clock.monotonic()
+                if now >= until:
                     return None
-                self._changed.wait(min(remaining_s, ANNOUNCEMENT_FRESH_S))
+                stale_at = max(item.known_at for item in fresh) + KNOWLEDGE_FRESH_S
+                self._changed.wait(max(0.0, min(until, stale_at) - now))
 
     def wait_until_kept(self, timeout_s: float) -> bool:
         """Block until another entry announces the tables; False if none does."""
@@ -168,8 +168,9 @@
         return max((after, *known))
 
     def _fresh(self) -> list[Heard]:
-        oldest = self._clock.monotonic() - ANNOUNCEMENT_FRESH_S
-        return [item for item in self._heard_by_sender.values() if item.at >= oldest]
+        oldest = self._clock.monotonic() - KNOWLEDGE_FRESH_S
+        heard = self._heard_by_sender.values()
+        return [item for item in heard if item.known_at > oldest]
 
     def _nearest(self, heard: list[Heard]) -> Heard:
         zone = self._fleet().me().zone
@@ -198,7 +199,7 @@
         heard = Heard(
             member,
             {item.table: item for item in announcement.tables},
-            self._clock.monotonic(),
+            self._clock.monotonic() - announcement.store_age_s,
         )
         with self._changed:
             before = self._heard_by_sender.get(member.name)
@@ -211,19 +212,16 @@
             self._announce_now.wait(ANNOUNCE_INTERVAL_S)
             self._announce_now.clear()
             self._log_change()
-            if self._keeper and self._knows_the_store():
-                self._announce()
+            store_age_s = self._clock.monotonic() - self._store_answered_at
+            if self._keeper and store_age_s < KNOWLEDGE_FRESH_S:
+                self._announce(store_age_s)
 
-    def _knows_the_store(self) -> bool:
-        age_s = self._clock.monotonic() - self._store_answered_at
-        return age_s <= STORE_FRESH_S
-
-    def _announce(self) -> None:
+    def _announce(self, store_age_s: float) -> None:
         fleet = self._fleet()
         me = fleet.me()
         with self._changed:
             tables = tuple(item.versions() for item in self._mirror_by_table.values())
-        content = encode_announcement(Announcement(me.name, tables))
+        content = encode_announcement(Announcement(me.name, tables, store_age_s))
         for member in fleet.members():
             if member.name != me.name:
                 self._datagrams.send(
@@ -263,7 +261,7 @@
 
 def _differs(before: Heard, after: Heard) -> bool:
     """Tell whether a keeper knows more than before, or was silent in between."""
-    silent = after.at - before.at > ANNOUNCEMENT_FRESH_S
+    silent = after.known_at - before.known_at > KNOWLEDGE_FRESH_S
     return silent or any(
         _changed(after, table) != _changed(before, table)
         for table in after.versions_by_table
--- a/dotterelpier/model/fleet.py
+++ b/dotterelpier/model/fleet.py
@@ -70,10 +70,13 @@
         Name of the entry that keeps the tables.
     tables : tuple of TableVersions
         Its tables.
+    store_age_s : float
+        How long ago the store answered it last, in seconds.
     """
 
     sender: str
     tables: tuple[TableVersions, ...]
+    store_age_s: float = 0.0
 
 
 @frozen
--- a/dotterelpier/wire/fleet.py
+++ b/dotterelpier/wire/fleet.py
@@ -45,6 +45,7 @@
             )
             for item in announcement.tables
         ],
+        store_age_ms=round(announcement.store_age_s * MS_PER_S),
     )
     return message.SerializeToString()
 
@@ -62,7 +63,7 @@
         TableVersions(item.table, item.changed, item.complete_to)
         for item in message.tables
     )
-    return Announcement(message.sender, tables)
+    return Announcement(message.sender, tables, message.store_age_ms / MS_PER_S)
 
 
 def encode_changes(reply: StoreReply) -> fleet_pb2.ChangesReply:
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -15,7 +15,11 @@
 
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet.mirror import TableMirror
-from dotterelpier.fleet.mirrors import keepers, make_mirrors
+from dotterelpier.fleet.mirrors import (
+    KNOWLEDGE_FRESH_S,
+    keepers,
+    make_mirrors,
+)
 from dotterelpier.kernel import make_kernel
 from dotterelpier.model.fleet import (
     Announcement,
@@ -187,13 +191,20 @@
         self.mirrors = make_mirrors(self.kernel)
         self.mirrors.start()
 
-    def announce(self, version: int, *rows: StoreRow, whole: bool = True) -> None:
+    def announce(
+        self,
+        version: int,
+        *rows: StoreRow,
+        whole: bool = True,
+        store_age_s: float = 0.0,
+    ) -> None:
         self.peers.mirror.take(StoreReply(rows, version, whole))
         versions = self.peers.mirror.versions()
         content = encode_announcement(
             Announcement(
                 self.fleet.keeper.name,
                 (TableVersions("t", versions.changed, versions.complete_to),),
+                store_age_s,
             )
         )
         self.datagrams.receivers[DatagramKind.ANNOUNCEMENT](content)
@@ -231,6 +242,18 @@
         shared.mirrors.watch("t", 1, 5.0)
 
 
+def test_keeper_that_the_store_does_not_answer_is_not_relied_on(shared) -> None:
+    """Its announcements go on, but tell nothing of what changed since."""
+    shared.announce(1, store_age_s=KNOWLEDGE_FRESH_S + 0.1)
+    assert not shared.mirrors.kept_by_others()
+    shared.announce(1, store_age_s=KNOWLEDGE_FRESH_S - 0.2)
+    assert shared.mirrors.kept_by_others()
+    began_at = time.monotonic()
+    with pytest.raises(PeerUnavailableError):
+        shared.mirrors.watch("t", 1, 30.0)
+    assert time.monotonic() - began_at < 30.0
+
+
 def test_keeper_that_cannot_be_asked_is_dropped(shared) -> None:
     shared.announce(3, StoreRow("k", b"1", 3))
     shared.peers.silent = True
