A store that was silent is asked again sooner by every entry

The sentinel of every entry now watches for 0.7 s, and pauses 0.5 s; that costs calls only where no keeper is heard.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -19,17 +19,14 @@
 from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import Mirrors, RowStore, StoreLink, Stores
 
-# The sentinel notices within this time that the store stopped answering; that of a
-# keeper sooner, as others rely on it.
-SENTINEL_WAIT_S = 2.5
-KEEPER_WAIT_S = 0.7
+# The sentinel notices within this time, and the margin of a call, that the store
+# stopped answering; a call that began while it was silent ends as soon after its return.
+SENTINEL_WAIT_S = 0.7
 # A connection that went silent for good is noticed within this time; the store holds a
 # watch for 30 s at most.
 WATCH_WAIT_S = 5.0
-# Pause of the sentinel after a failure; longer where the others' announcements tell
-# that the store is back.
-KEEPER_RETRY_S = 0.5
-RETRY_S = 1.0
+# Pause of the sentinel after a failure.
+RETRY_S = 0.5
 # Longest wait for an announcement before the store is asked.
 ANNOUNCEMENT_WAIT_S = 0.3
 # Time for which a keeper that the store turned away asks the other keepers.
@@ -123,7 +120,8 @@
         if self._cursor is None:
             reply = self._store.read(self.table)
         else:
-            reply = self._store.watch(self.table, self._cursor, self._wait_s())
+            wait_s = SENTINEL_WAIT_S if self.sentinel else WATCH_WAIT_S
+            reply = self._store.watch(self.table, self._cursor, wait_s)
         self._mirrors.take(self.table, reply)
         return reply
 
@@ -137,11 +135,6 @@
         wait_s = 0.0 if self._cursor is None else ANNOUNCEMENT_WAIT_S
         return self._mirrors.wait_until_kept(wait_s)
 
-    def _wait_s(self) -> float:
-        if not self.sentinel:
-            return WATCH_WAIT_S
-        return KEEPER_WAIT_S if self._mirrors.is_keeper() else SENTINEL_WAIT_S
-
     def _pause(self, error: PlatformError) -> None:
         logger.info(
             "table not read", table=self.table, after=self._cursor, error=str(error)
@@ -151,8 +144,7 @@
             return
         if self.sentinel:
             self._link.note_failed(error)
-            keeper = self._mirrors.is_keeper()
-            self._mirrors.wait_until_kept(KEEPER_RETRY_S if keeper else RETRY_S)
+            self._mirrors.wait_until_kept(RETRY_S)
         elif self._link.reached():
             self._stopped.wait(RECONNECT_S)
         else:
