--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -20,7 +20,7 @@
 from dotterelpier.protocols.fleet import Mirrors, RowStore, StoreLink, Stores
 
 # The sentinel notices within this time, and the margin of a call, that the store
-# stopped answering; a call that began while it was silent ends as soon after its return.
+# stopped answering; a call begun while it was silent ends as soon after its return.
 SENTINEL_WAIT_S = 0.7
 # A connection that went silent for good is noticed within this time; the store holds a
 # watch for 30 s at most.
