--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -122,7 +122,7 @@
         else:
             wait_s = SENTINEL_WAIT_S if self.sentinel else WATCH_WAIT_S
             reply = self._store.watch(self.table, self._cursor, wait_s)
-        self._mirrors.take(self.table, reply)
+        self._mirrors.take(self.table, reply, sentinel=self.sentinel)
         return reply
 
     def _asks_others(self) -> bool:
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -91,10 +91,15 @@
         with self._changed:
             return bool(self._fresh())
 
-    def take(self, table: str, reply: StoreReply) -> None:
-        """Take in an answer of the store."""
+    def take(self, table: str, reply: StoreReply, *, sentinel: bool) -> None:
+        """Take in an answer of the store.
+
+        Only the sentinel's answers tell how fresh the knowledge is: another table may
+        be answered while the sentinel's connection hangs.
+        """
         with self._changed:
-            self._store_answered_at = self._clock.monotonic()
+            if sentinel:
+                self._store_answered_at = self._clock.monotonic()
             self._mirror(table).take(reply)
         if reply.rows:
             self._announce_now.set()
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -137,8 +137,8 @@
         """Block until another entry announces the tables; False if none does."""
         ...
 
-    def take(self, table: str, reply: StoreReply) -> None:
-        """Take in an answer of the store."""
+    def take(self, table: str, reply: StoreReply, *, sentinel: bool) -> None:
+        """Take in an answer of the store; the sentinel's tell how fresh it is."""
         ...
 
     def changes(self, table: str, after: int) -> StoreReply:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -267,5 +267,5 @@
         time.sleep(timeout_s)
         return False
 
-    def take(self, table: str, reply: StoreReply) -> None:
+    def take(self, table: str, reply: StoreReply, *, sentinel: bool) -> None:
         """Tell nobody."""
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -262,11 +262,23 @@
 
 def test_entry_that_keeps_nothing_announces_nothing(shared) -> None:
     assert not shared.mirrors.is_keeper()
-    shared.mirrors.take("t", StoreReply((StoreRow("k", b"1", 1),), 1, True))
+    reply = StoreReply((StoreRow("k", b"1", 1),), 1, True)
+    shared.mirrors.take("t", reply, sentinel=True)
     time.sleep(0.4)
     assert shared.datagrams.sent == []
 
 
+def test_keeper_whose_sentinel_hangs_announces_nothing(shared) -> None:
+    shared.fleet.own = shared.fleet.keeper
+    shared.mirrors._choose_keepers()
+    reply = StoreReply((StoreRow("k", b"1", 1),), 1, True)
+    shared.mirrors.take("t", reply, sentinel=False)
+    time.sleep(0.4)
+    assert shared.datagrams.sent == []
+    shared.mirrors.take("t", reply, sentinel=True)
+    wait_until(lambda: shared.datagrams.sent, "the tables are announced")
+
+
 @pytest.fixture
 def fleet():
     first = start_fleet_system()
