Serve routes of kind upload, and configurations that are partly understood

Uploads are non-idempotent with large bodies. A kind that is not known is served and never repeated. A faulty service or route leaves the others in force; requests of a faulty route are refused with 503 and never fall to a route with a shorter prefix.

--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -149,6 +149,12 @@
     code = "no_route"
 
 
+class RouteFaultyError(CallError):
+    """The route of the request is declared in a way that is not understood."""
+
+    code = "route_faulty"
+
+
 class ClientLeftError(CallError):
     """The client closed its connection before its answer was ready."""
 
--- a/dotterelpier/fleet/choosing.py
+++ b/dotterelpier/fleet/choosing.py
@@ -9,7 +9,7 @@
 from dotterelpier.model.route import Route
 
 # Added to the expected time of a backend server in another zone, in multiples of the
-# usual work time. Traffic between zones is billed, so large answers cost much more.
+# usual work time. Traffic between zones is billed, so large bodies cost much more.
 OTHER_ZONE_PENALTY = 0.65
 OTHER_ZONE_PENALTY_LARGE = 5.0
 # Added for a backend server whose last health check reported it as unhealthy. It stays
@@ -88,7 +88,7 @@
 def _score(condition: Condition, route: Route, own_zone: str, now: float) -> float:
     score = condition.expected_time(now)
     if condition.instance.zone != own_zone:
-        large = route.large_answers
+        large = route.large_bodies
         score += OTHER_ZONE_PENALTY_LARGE if large else OTHER_ZONE_PENALTY
     if not condition.healthy:
         score += UNHEALTHY_PENALTY
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -18,6 +18,7 @@
     NoRouteError,
     OverloadedError,
     RefusedError,
+    RouteFaultyError,
     TaskPoolFullError,
 )
 from dotterelpier.fleet.request_state import (
@@ -105,6 +106,9 @@
                 f"no route for {request.host!r} in configuration {table.version}",
                 step=STEP,
             )
+        if not route.shares:
+            message = f"route {route.name!r} is not understood"
+            raise RouteFaultyError(message, step=STEP)
         service = self._split.choose(route)
         self._budget.note_request(service)
         timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
--- a/dotterelpier/fleet/routes.py
+++ b/dotterelpier/fleet/routes.py
@@ -15,13 +15,16 @@
 from dotterelpier.protocols.fleet import Codec, Routes
 
 TABLE = "op"
+# Bounds the log lines of one configuration; the metric counts all faults.
+MAX_LOGGED_FAULTS = 20
 
 
 @define
 class FollowedRoutes:
     """Keeps the newest valid configuration and the set of evacuated zones.
 
-    A configuration that is invalid or not newer leaves the one in force. Changes are
+    A configuration that is invalid or not newer leaves the one in force. One with
+    routes or services that cannot be read comes in force without these. Changes are
     applied in the task of the table follower; reads are safe from any thread.
     """
 
@@ -108,12 +111,20 @@
         services = frozenset(table.config_by_service)
         self._metrics.restrict_label_values("service", services)
         self._metrics.set_gauge("revision", table.version)
+        self._metrics.set_gauge("configuration_faults", len(table.faults))
         logger.info(
             "configuration in force",
             version=table.version,
             before=before,
             services=len(services),
+            faults=len(table.faults),
         )
+        for fault in table.faults[:MAX_LOGGED_FAULTS]:
+            logger.error(
+                "part of the configuration not understood; the rest is in force",
+                version=table.version,
+                fault=fault,
+            )
 
 
 def make_routes(kernel: Kernel) -> Routes:
--- a/dotterelpier/model/route.py
+++ b/dotterelpier/model/route.py
@@ -34,11 +34,13 @@
     prefix : str
         Path prefix that begins and ends with a slash.
     shares : tuple of Share
-        Services that share the requests, by weight.
+        Services that share the requests, by weight; empty if the configuration of the
+        route is not understood, and its requests are refused.
     idempotent : bool
         Whether a request may run more than once.
-    large_answers : bool
-        Whether answers are large, so that the cost of bytes between zones counts.
+    large_bodies : bool
+        Whether requests or answers are large, so that the cost of bytes between zones
+        counts.
     timeout_s : float or None
         Timeout until the final answer, in seconds; None if the route sets none.
     target_s : float
@@ -54,7 +56,7 @@
     prefix: str
     shares: tuple[Share, ...]
     idempotent: bool
-    large_answers: bool = False
+    large_bodies: bool = False
     timeout_s: float | None = None
     target_s: float = 1.0
     max_attempts: int = 1
@@ -122,12 +124,16 @@
         Declarations by the name of the service.
     limits : ClientLimits
         Limits on clients.
+    faults : tuple of str
+        What could not be read and how it is handled, one line each with the path of
+        the key.
     """
 
     version: int
     route_by_prefix_by_host: Mapping[str, Mapping[str, Route]] = field(repr=False)
     config_by_service: Mapping[str, ServiceConfig] = field(repr=False)
     limits: ClientLimits = ClientLimits()
+    faults: tuple[str, ...] = ()
 
     def route_names(self) -> frozenset[str]:
         """Return the names of all routes."""
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -5,7 +5,8 @@
 
 import json
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from functools import partial
 from typing import Any, TypeVar
 
 from attrs import define
@@ -24,12 +25,15 @@
 CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 REGISTRATION_STATES = ("ready", "draining")
-# Kind of a route in the store -> whether it is idempotent, whether answers are large.
+# Kind of a route in the store -> whether it is idempotent, whether bodies are large.
 FLAGS_BY_ROUTE_KIND: Mapping[str, tuple[bool, bool]] = {
     "idempotent": (True, False),
     "non_idempotent": (False, False),
     "download": (True, True),
+    "upload": (False, True),
 }
+# Requests of a kind that a later release may add are never repeated.
+UNKNOWN_KIND_FLAGS = (False, False)
 # For a service that declares no limit; far above any real number of connections.
 UNLIMITED_CONNECTIONS = 1 << 20
 
@@ -53,21 +57,31 @@
         return key.removeprefix(EVACUATION_PREFIX)
 
     def route_table(self, content: bytes) -> RouteTable:
-        """Return the configuration that a row holds, fully checked.
+        """Return the configuration that a row holds.
+
+        Services that cannot be read are left out, and routes that cannot be read have
+        no shares; ``faults`` of the table lists them.
 
         Raises
         ------
         ConfigError
-            If it is not valid; ``faults`` names the key at fault.
+            If the version or the limits are not valid, or no route can be read;
+            ``faults`` names the keys at fault.
         """
         fields = _Fields(_parse_object(content), "")
         version = fields.get("version", _hexadecimal_version)
-        terms = _read_each(fields, "services", _service_terms)
-        routes = _read_each(fields, "routes", _route)
-        for route in routes.values():
-            _check_services(route, terms)
+        faults: list[str] = []
+        terms = _read_each(fields, "services", _service_terms, faults)
+        routes = _read_each(fields, "routes", partial(_route, terms), faults)
+        if faults and not routes:
+            raise ConfigError(tuple(faults), step=STEP)
+        table = fields.child("routes")
+        faults.extend(_unknown_kinds(table, routes))
+        # Their requests must not fall to a route with a shorter prefix.
+        for route in _unserved_routes(table, table.keys - routes.keys()):
+            routes[route.name] = route
         limits = _client_limits(fields.child("limits"))
-        return RouteTable(version, _group_by_host(routes), terms, limits)
+        return RouteTable(version, _group_by_host(routes), terms, limits, tuple(faults))
 
     def instance(self, key: str, content: bytes) -> Instance:
         """Return the backend server that a registry row describes.
@@ -123,15 +137,19 @@
     def children(self, key: str) -> list["_Fields"]:
         """Return the objects of the list under a key."""
         items = self.get(key, _list)
-        return [
-            _Fields(_mapping(item), f"{self.key_path(key)}[{index}]")
-            for index, item in enumerate(items)
-        ]
+        children = []
+        for index, item in enumerate(items):
+            path = f"{self.key_path(key)}[{index}]"
+            try:
+                children.append(_Fields(_mapping(item), path))
+            except ValueError as error:
+                raise _config_error(path, str(error)) from None
+        return children
 
     @property
-    def keys(self) -> tuple[str, ...]:
+    def keys(self) -> frozenset[str]:
         """Keys of this object, without those of its children."""
-        return tuple(self._value_by_key)
+        return frozenset(self._value_by_key)
 
     def key_path(self, key: str) -> str:
         """Return the path of a key from the root, such as ``routes.shop.kind``."""
@@ -139,26 +157,50 @@
 
 
 def _read_each(
-    fields: _Fields, key: str, read: Callable[[str, _Fields], T]
+    fields: _Fields, key: str, read: Callable[[str, _Fields], T], faults: list[str]
 ) -> dict[str, T]:
+    """Return the valid entries of a table by name; add the others to ``faults``."""
     table = fields.child(key)
-    return {name: read(name, table.child(name)) for name in table.keys}
+    item_by_name = {}
+    for name in sorted(table.keys):
+        try:
+            item_by_name[name] = read(name, table.child(name))
+        except ConfigError as error:
+            faults.extend(error.faults)
+    return item_by_name
+
+
+def _unserved_routes(table: _Fields, names: Iterable[str]) -> Iterator[Route]:
+    """Yield a route without shares for each name whose host and prefix are valid."""
+    for name in names:
+        try:
+            fields = table.child(name)
+            host, prefix = fields.get("hostname", _text), fields.get("prefix", _prefix)
+        except ConfigError:
+            continue
+        yield Route(name, host.lower(), prefix, (), idempotent=False)
 
 
-def _route(name: str, fields: _Fields) -> Route:
+def _unknown_kinds(table: _Fields, routes: Iterable[str]) -> Iterator[str]:
+    for name in routes:
+        fields = table.child(name)
+        kind = fields.get("kind", _text)
+        if kind not in FLAGS_BY_ROUTE_KIND:
+            yield f"{fields.key_path('kind')}: {kind!r} is unknown; never repeated"
+
+
+def _route(terms: Mapping[str, ServiceConfig], name: str, fields: _Fields) -> Route:
     kind = fields.get("kind", _text)
-    if kind not in FLAGS_BY_ROUTE_KIND:
-        raise _config_error(fields.key_path("kind"), f"{kind!r} is unknown")
-    idempotent, large_answers = FLAGS_BY_ROUTE_KIND[kind]
+    idempotent, large_bodies = FLAGS_BY_ROUTE_KIND.get(kind, UNKNOWN_KIND_FLAGS)
     timeout_ms = fields.optional("timeoutMs", _non_negative_number)
     return Route(
         name,
         # In the store, "hostname" is the host that clients request, not a machine.
         fields.get("hostname", _text).lower(),
         fields.get("prefix", _prefix),
-        _shares(fields),
+        _shares(fields, terms),
         idempotent,
-        large_answers,
+        large_bodies,
         None if timeout_ms is None else timeout_ms / 1000,
         fields.get("targetLatencyMs", _non_negative_number, 1000.0) / 1000,
         fields.get("maxAttempts", _positive_integer, 1),
@@ -166,16 +208,22 @@
     )
 
 
-def _shares(fields: _Fields) -> tuple[Share, ...]:
+def _shares(fields: _Fields, terms: Mapping[str, ServiceConfig]) -> tuple[Share, ...]:
     service = fields.optional("service", _text)
     if service is not None:
-        return (Share(service, 1.0),)
-    shares = tuple(
-        Share(part.get("service", _text), part.get("weight", _non_negative_number))
-        for part in fields.children("trafficSplit")
-    )
+        shares: tuple[Share, ...] = (Share(service, 1.0),)
+    else:
+        shares = tuple(
+            Share(part.get("service", _text), part.get("weight", _non_negative_number))
+            for part in fields.children("trafficSplit")
+        )
     if not sum(share.weight for share in shares) > 0:
         raise _config_error(fields.key_path("trafficSplit"), "no weight is above 0")
+    for share in shares:
+        if share.service not in terms:
+            raise _config_error(
+                fields.path, f"no valid service {share.service!r} is declared"
+            )
     return shares
 
 
@@ -203,14 +251,6 @@
     )
 
 
-def _check_services(route: Route, terms: Mapping[str, ServiceConfig]) -> None:
-    for share in route.shares:
-        if share.service not in terms:
-            raise _config_error(
-                f"routes.{route.name}", f"no service {share.service!r} is declared"
-            )
-
-
 def _group_by_host(routes: Mapping[str, Route]) -> dict[str, dict[str, Route]]:
     route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
     for route in routes.values():
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -90,6 +90,9 @@
     "audit_written": MetricDeclaration(Counter, "Audit entries written."),
     "audit_dropped": MetricDeclaration(Counter, "Audit entries dropped."),
     "revision": MetricDeclaration(Gauge, "Manifest revision in force, 0 if none."),
+    "configuration_faults": MetricDeclaration(
+        Gauge, "Faults in the configuration in force; their routes are not served."
+    ),
     "assignment": MetricDeclaration(Gauge, "Number of the assignment in force."),
     "lease_left_seconds": MetricDeclaration(
         Gauge, "Rest of the own lease in seconds, negative once it lapsed."
--- a/dotterelpier/wire/problem.py
+++ b/dotterelpier/wire/problem.py
@@ -20,6 +20,7 @@
     NoRouteError,
     OverloadedError,
     RefusedError,
+    RouteFaultyError,
     StoppingError,
     UnknownServiceError,
 )
@@ -44,6 +45,7 @@
     ClaimUnavailableError: 503,
     AnswerTimeoutError: 504,
     NoRouteError: 404,
+    RouteFaultyError: 503,
     ClientLeftError: 502,
 }
 
