Bound every read of an answer, stream large ones, and match refusals to attempts

A server that sent single bytes held the task of its checks for good. Answers are now read up to a deadline and a size. - An answer above 16 MiB of a fleet's backend server reached the client as a signed 200 without body, as the stream of its body was dropped. Answers above 1 MiB are streamed; one that breaks off never looks complete. - The body of a large answer to another request was skipped without being read, so its bytes were taken for the next head. The exchange now fails. - A refusal without an attempt id counted for the request that waited. A server that wrote an earlier refusal once more made a running request count as not run (REFUSED, or TWICE at a second server). Only a refusal that names the waiting attempt counts.

The stand-in of the tests names the attempt in its refusals, as the platform's servers do.

--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -370,7 +370,11 @@
             self._pool.clock,
             lambda: self.abort_exchange(exchange),
         )
-        answer = exchange.decode(_http_answer(response, b"", stream))
+        try:
+            answer = exchange.decode(_http_answer(response, b"", stream))
+        except AnswerMismatchError as error:
+            # The next answer could be found only by reading all of this one.
+            raise self._error(AnswerLostError, error.message) from None
         exchange.answer.set_result(answer)
         try:
             self._pass_on(pieces, stream)
--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -1,9 +1,11 @@
 """HTTP connections with ``TCP_NODELAY``, and answers whose length is not guessed."""
 
 import http.client
+import io
 import re
 import select
 import socket
+import time
 from typing import Any
 
 from attrs import define
@@ -91,6 +93,43 @@
         """Close the underlying stream."""
         self._stream.close()
 
+    def detach(self) -> Any:
+        """Return the unbuffered stream; this reader is not usable afterwards."""
+        return self._stream.detach()
+
+
+class DeadlineStream(io.RawIOBase):
+    """Reads from a socket until a deadline, however slowly the bytes arrive.
+
+    The timeout of a socket bounds each read only, so a peer that sends single bytes
+    could keep a reader waiting forever.
+    """
+
+    def __init__(self, raw: Any, sock: socket.socket, deadline_at: float) -> None:
+        super().__init__()
+        self._raw = raw
+        self._socket = sock
+        self._deadline_at = deadline_at
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read bytes that arrive before the deadline; raise ``TimeoutError`` at it."""
+        remaining_s = self._deadline_at - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("no complete answer before the deadline")
+        self._socket.settimeout(remaining_s)
+        count: int | None = self._raw.readinto(buffer)
+        return count
+
+    def close(self) -> None:
+        """Close the reader; the socket stays open if its connection uses it."""
+        if not self.closed:
+            self._raw.close()
+        super().close()
+
 
 class StrictResponse(http.client.HTTPResponse):
     """An answer that must declare its length unambiguously."""
@@ -110,6 +149,33 @@
         self.reader = AnswerReader(self.fp)
         self.fp = self.reader  # type: ignore[assignment]
 
+    def set_deadline(self, deadline_at: float) -> None:
+        """Fail with ``TimeoutError`` if the answer is not complete by ``deadline_at``.
+
+        Call it before ``begin``; the time is on the monotonic clock, in seconds.
+        """
+        raw = self.reader.detach()
+        stream = DeadlineStream(raw, self.sock, deadline_at)
+        self.reader = AnswerReader(io.BufferedReader(stream))
+        self.fp = self.reader  # type: ignore[assignment]
+
+    def read_whole(self, limit_bytes: int) -> bytes:
+        """Return the body.
+
+        Raises
+        ------
+        OSError
+            If the connection broke; ``TimeoutError`` at the deadline.
+        HTTPException
+            If the body is truncated or larger than ``limit_bytes``.
+        """
+        body = self.read(limit_bytes + 1)
+        if len(body) > limit_bytes:
+            raise MalformedAnswerError(f"body is larger than {limit_bytes} bytes")
+        if self.length:
+            raise http.client.IncompleteRead(body, self.length)
+        return body
+
     def begin(self) -> None:
         """Read and check the head.
 
@@ -171,6 +237,37 @@
     allows_close_delimited = True
 
 
+class ClientConnection(http.client.HTTPConnection):
+    """A connection whose answers are parsed strictly and within a deadline.
+
+    Attributes
+    ----------
+    deadline_at : float or None
+        When the answers must be complete, in seconds on the monotonic clock. None
+        leaves it to the timeout of the socket, which bounds each read only.
+    """
+
+    deadline_at: float | None = None
+
+    def __init__(
+        self,
+        address: Address,
+        timeout_s: float,
+        answer_class: type[StrictResponse],
+    ) -> None:
+        super().__init__(address.host, address.port, timeout=timeout_s)
+        self._answer_class = answer_class
+        self.response_class = self._make_answer  # type: ignore[assignment]
+
+    def _make_answer(
+        self, sock: socket.socket, debuglevel: int = 0, method: str | None = None
+    ) -> StrictResponse:
+        answer = self._answer_class(sock, debuglevel, method)
+        if self.deadline_at is not None:
+            answer.set_deadline(self.deadline_at)
+        return answer
+
+
 def clean_headers(headers: http.client.HTTPMessage) -> tuple[tuple[str, str], ...]:
     """Return headers with folded lines unfolded (RFC 9112, section 5.2).
 
@@ -192,7 +289,7 @@
     address: str,
     timeout_s: float,
     response_class: type[StrictResponse] = StrictResponse,
-) -> http.client.HTTPConnection:
+) -> ClientConnection:
     """Connect to ``IP:port``.
 
     ``http.client`` writes head and body separately, so the connection uses
@@ -212,11 +309,9 @@
     OSError
         If the connection could not be opened within ``timeout_s`` seconds.
     """
-    parsed = parse_address(address)
-    connection = http.client.HTTPConnection(
-        parsed.host, parsed.port, timeout=max(timeout_s, 0.001)
+    connection = ClientConnection(
+        parse_address(address), max(timeout_s, 0.001), response_class
     )
-    connection.response_class = response_class
     connection.connect()
     _set_options(connection.sock)
     return connection
--- a/dotterelpier/clients/instances.py
+++ b/dotterelpier/clients/instances.py
@@ -2,10 +2,11 @@
 
 import http.client
 import threading
+import time
 from concurrent.futures import Future
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from dotterelpier.clients.connections import (
     ConnectionPool,
@@ -16,6 +17,7 @@
     make_connection_pool,
 )
 from dotterelpier.clients.http_connection import (
+    ClientConnection,
     CloseDelimitedResponse,
     clean_headers,
     open_connection,
@@ -42,8 +44,9 @@
 # second; requests that must not be lost use one that was idle for less.
 FRESH_IDLE_S = 0.25
 # Answers up to this size are received whole before they are passed on, so that the
-# request of a truncated one can be retried.
-WHOLE_ANSWER_BYTES = 16 << 20
+# request of a truncated one can be retried. Larger ones are streamed, as an entry has
+# memory for about a hundred of this size.
+WHOLE_ANSWER_BYTES = 1 << 20
 MAX_HEALTH_BODY_BYTES = 4096
 
 RULES = ConnectionRules(
@@ -119,9 +122,10 @@
     def _decode(
         self, received: HttpAnswer, request: Request, instance: Instance
     ) -> InstanceAnswer:
-        return self._codec.decode_answer(
+        answer = self._codec.decode_answer(
             received.status, received.headers, received.body, request, instance
         )
+        return evolve(answer, stream=received.stream, length=received.length)
 
     def health_connection(self, instance: Instance) -> HealthConnection:
         """Return a connection for health checks, opened on its first use."""
@@ -138,28 +142,30 @@
 
     _instance: Instance
     _codec: HeaderCodec
-    _connection: http.client.HTTPConnection | None = None
+    _connection: ClientConnection | None = None
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def check(self, path: str, timeout_s: float) -> HealthReport:
         """Request the health path and return the report of the backend server.
 
-        Connecting and each read or write may take up to ``timeout_s`` seconds. A lost
-        answer on a reused connection leads to one retry on a new one.
+        Connecting and the whole exchange may each take up to ``timeout_s`` seconds. A
+        lost answer on a reused connection leads to one retry on a new one, within the
+        same time.
 
         Raises
         ------
         CallError
             If the connection failed or no answer came in time.
         """
+        deadline_at = time.monotonic() + timeout_s
         reused = self._connection is not None
         try:
-            return self._check(path, timeout_s)
+            return self._check(path, deadline_at)
         except AnswerLostError:
             if not reused:
                 raise
             # The backend server may have closed the idle connection.
-            return self._check(path, timeout_s)
+            return self._check(path, deadline_at)
 
     def close(self) -> None:
         """Close the connection from any thread; a check in progress fails."""
@@ -169,8 +175,8 @@
             shut_down(connection.sock)
             connection.close()
 
-    def _check(self, path: str, timeout_s: float) -> HealthReport:
-        connection = self._open(timeout_s)
+    def _check(self, path: str, deadline_at: float) -> HealthReport:
+        connection = self._open(deadline_at)
         try:
             connection.request("GET", path, headers={"Host": self._instance.address})
             response = connection.getresponse()
@@ -190,8 +196,9 @@
             self.close()
             raise self._error(AnswerLostError, repr(error)) from None
 
-    def _open(self, timeout_s: float) -> http.client.HTTPConnection:
+    def _open(self, deadline_at: float) -> ClientConnection:
         connection = self._connection
+        timeout_s = max(0.001, deadline_at - time.monotonic())
         if connection is None:
             try:
                 address = self._instance.address
@@ -201,6 +208,7 @@
             with self._lock:
                 self._connection = connection
         connection.sock.settimeout(timeout_s)
+        connection.deadline_at = deadline_at
         return connection
 
     def _error(self, kind: type[Any], message: str) -> Any:
--- a/dotterelpier/clients/platform.py
+++ b/dotterelpier/clients/platform.py
@@ -7,13 +7,18 @@
 import http.client
 import json
 import threading
+import time
 from collections.abc import Sequence
 from typing import Any
 from urllib.parse import quote
 
 from attrs import define, field, frozen
 
-from dotterelpier.clients.http_connection import open_connection
+from dotterelpier.clients.http_connection import (
+    ClientConnection,
+    StrictResponse,
+    open_connection,
+)
 from dotterelpier.errors import ConflictError, PlatformUnavailableError
 from dotterelpier.model.platform import Row, Vm, VmState, Write
 from dotterelpier.protocols import Clock
@@ -24,6 +29,8 @@
 NOT_FOUND = 404
 PRECONDITION_FAILED = 412
 MAX_IDLE_CONNECTIONS = 8
+# Far above any list of rows of a system of the size designed for.
+MAX_REPLY_BYTES = 64 << 20
 
 
 @frozen
@@ -43,7 +50,7 @@
 
     _settings: PlatformSettings
     _clock: Clock
-    _idle: list[http.client.HTTPConnection] = field(factory=list)
+    _idle: list[ClientConnection] = field(factory=list)
     _lock: threading.Lock = field(factory=threading.Lock)
     _reached_at: float = float("-inf")
 
@@ -105,7 +112,9 @@
 
     def put(self, name: str, content: bytes) -> None:
         """Create or replace an object."""
-        self._request("PUT", f"/v1/objects/{quote(name, safe='')}", content)
+        reply = self._request("PUT", f"/v1/objects/{quote(name, safe='')}", content)
+        if reply.status != OK:
+            raise self._unavailable(f"unexpected status {reply.status}")
 
     def list(self) -> tuple[Vm, ...]:
         """Return the live and leaving VMs; the list may lag."""
@@ -139,10 +148,12 @@
         headers: dict[str, str] | None = None,
     ) -> _Reply:
         connection = self._take_connection()
+        connection.deadline_at = time.monotonic() + self._settings.timeout_s
         try:
             connection.request(method, target, body or None, headers or {})
             response = connection.getresponse()
-            content = response.read()
+            assert isinstance(response, StrictResponse)
+            content = response.read_whole(MAX_REPLY_BYTES)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise self._unavailable(repr(error)) from None
@@ -154,7 +165,7 @@
         self._reached_at = self._clock.monotonic()
         return _Reply(response.status, response.headers.get("ETag", ""), content)
 
-    def _take_connection(self) -> http.client.HTTPConnection:
+    def _take_connection(self) -> ClientConnection:
         with self._lock:
             if self._idle:
                 return self._idle.pop()
@@ -163,7 +174,7 @@
         except OSError as error:
             raise self._unavailable(repr(error)) from None
 
-    def _return_connection(self, connection: http.client.HTTPConnection) -> None:
+    def _return_connection(self, connection: ClientConnection) -> None:
         with self._lock:
             if len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append(connection)
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -76,7 +76,8 @@
     def serve(self, request: Request) -> Reply:
         """Return the final answer to a request; blocks until it or the deadline.
 
-        Attempts still pending are aborted before it returns or raises.
+        Attempts still pending are aborted before it returns or raises. The caller must
+        close the stream of a reply that has one.
 
         Raises
         ------
@@ -375,7 +376,9 @@
 
 
 def _reply(answer: InstanceAnswer) -> Reply:
-    return Reply(answer.status, answer.headers, answer.body)
+    return Reply(
+        answer.status, answer.headers, answer.body, answer.stream, answer.length
+    )
 
 
 def _no_op() -> None:
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -125,9 +125,17 @@
     environ: Environ, reply: Reply, start_response: StartResponse
 ) -> Iterable[bytes]:
     headers = [item for item in reply.headers if item[0].lower() not in NOT_FORWARDED]
-    if reply.status not in STATUSES_WITHOUT_LENGTH:
-        headers.append(("Content-Length", str(len(reply.body))))
-    start_response(status_line(reply.status), headers)
+    length = len(reply.body) if reply.stream is None else reply.length
+    if length is not None and reply.status not in STATUSES_WITHOUT_LENGTH:
+        headers.append(("Content-Length", str(length)))
+    try:
+        start_response(status_line(reply.status), headers)
+    except Exception:
+        if reply.stream is not None:
+            reply.stream.close()
+        raise
+    if reply.stream is not None:
+        return reply.stream
     return [] if environ["REQUEST_METHOD"] == "HEAD" else [reply.body]
 
 
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from dotterelpier.model.call import Headers
+from dotterelpier.model.call import Body, Headers
 from dotterelpier.model.instance import LoadFigures
 
 Unsubscribe = Callable[[], None]
@@ -70,11 +70,15 @@
     headers : Headers
         End-to-end headers.
     body : bytes
-        Whole body.
+        Whole body, empty if it is streamed.
     signed : bool
         Whether it has the signature header of the backend server.
     load : LoadFigures or None
         Load that the backend server reported, None if it reported none.
+    stream : Body or None
+        Body of an answer that is too large to be held whole.
+    length : int or None
+        Declared length of a streamed body in bytes, None if it was not declared.
     """
 
     status: int
@@ -82,6 +86,8 @@
     body: bytes = field(repr=False)
     signed: bool = False
     load: LoadFigures | None = None
+    stream: Body | None = field(default=None, eq=False, repr=False)
+    length: int | None = None
 
 
 @frozen
@@ -95,9 +101,15 @@
     headers : Headers
         End-to-end headers.
     body : bytes
-        Whole body.
+        Whole body, empty if it is streamed.
+    stream : Body or None
+        Body of an answer that is too large to be held whole.
+    length : int or None
+        Declared length of a streamed body in bytes, None if it was not declared.
     """
 
     status: int
     headers: Headers = ()
     body: bytes = field(default=b"", repr=False)
+    stream: Body | None = field(default=None, eq=False, repr=False)
+    length: int | None = None
--- a/dotterelpier/platform/headers.py
+++ b/dotterelpier/platform/headers.py
@@ -86,7 +86,7 @@
         AnswerLostError
             If a client would conclude from the status that the request has not run,
             although the backend server did not state it, if a success is not signed,
-            or if a signed answer has no attempt id.
+            or if a refusal or a signed answer has no attempt id.
         """
         value_by_name = {name.lower(): value for name, value in headers}
         echoed_id = value_by_name.get(ATTEMPT_HEADER.lower())
@@ -94,7 +94,14 @@
             message = f"answer belongs to request {echoed_id!r}"
             raise AnswerMismatchError(message, step="backend.answer", peer=instance.id)
         load = read_load(value_by_name.get(LOAD_HEADER.lower()))
-        if status == STATUS_MISDIRECTED or NOT_EXECUTED_HEADER.lower() in value_by_name:
+        refused = (
+            status == STATUS_MISDIRECTED or NOT_EXECUTED_HEADER.lower() in value_by_name
+        )
+        if refused and echoed_id is None:
+            # It may be a repeated refusal of an earlier request on this connection.
+            message = f"refusal with status {status} has no attempt id"
+            raise AnswerLostError(message, step="backend.answer", peer=instance.id)
+        if refused:
             refusal = RefusedError(
                 f"backend server refused the request with status {status}",
                 step="backend.answer",
--- a/dotterelpier/platform/store.py
+++ b/dotterelpier/platform/store.py
@@ -5,12 +5,15 @@
 import http.client
 import json
 import threading
+import time
 from typing import Any
 from urllib.parse import urlencode
 
 from attrs import define, field, frozen
 
 from dotterelpier.clients.http_connection import (
+    ClientConnection,
+    StrictResponse,
     is_readable,
     open_connection,
     shut_down,
@@ -27,6 +30,8 @@
 # long.
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+# A page holds at most 1 MB of values, a third more as base64, besides keys.
+MAX_REPLY_BYTES = 8 << 20
 # Added to the wait time of a watch, for the timeout of its connection.
 WATCH_MARGIN_S = 1.0
 
@@ -50,7 +55,7 @@
     """
 
     _address: str
-    _connection: http.client.HTTPConnection | None = None
+    _connection: ClientConnection | None = None
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def read(self, table: str) -> StoreReply:
@@ -136,7 +141,8 @@
             headers = JSON_HEADERS if body is not None else {}
             connection.request(method, target, body, headers)
             response = connection.getresponse()
-            content = response.read()
+            assert isinstance(response, StrictResponse)
+            content = response.read_whole(MAX_REPLY_BYTES)
             if response.will_close:
                 self._close()
             return response.status, json.loads(content) if content else None
@@ -144,7 +150,7 @@
             self._close()
             raise self._unavailable(repr(error), "store.exchange") from None
 
-    def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
+    def _connect(self, timeout_s: float) -> ClientConnection:
         with self._lock:
             connection = self._connection
         if connection is not None and is_readable(connection.sock):
@@ -156,6 +162,7 @@
             with self._lock:
                 self._connection = connection
         connection.sock.settimeout(timeout_s)
+        connection.deadline_at = time.monotonic() + timeout_s
         return connection
 
     def _close(self) -> None:
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -66,11 +66,17 @@
     return "\r\n".join((*first, "", "")).encode() + body
 
 
-def refusal(status: str = "503 Service Unavailable", *lines: str) -> bytes:
+def refusal(
+    request: ReceivedRequest, status: str = "503 Service Unavailable", *lines: str
+) -> bytes:
     """Return an answer that states that the request was not executed."""
-    return "\r\n".join(
-        (f"HTTP/1.1 {status}", NOT_EXECUTED_LINE, "Content-Length: 0", *lines, "", "")
-    ).encode()
+    first = (
+        f"HTTP/1.1 {status}",
+        f"{ATTEMPT_ID_HEADER}: {attempt_id_of(request)}",
+        NOT_EXECUTED_LINE,
+        "Content-Length: 0",
+    )
+    return "\r\n".join((*first, *lines, "", "")).encode()
 
 
 @define(eq=False)
@@ -102,7 +108,7 @@
             return ["\r\n".join((*lines, "", "")).encode()]
         expected = received.headers["x-dotterelpier-expected-instance"]
         if expected != self.id:
-            return [refusal("421 Misdirected Request")]
+            return [refusal(received, "421 Misdirected Request")]
         self.runs.append(received)
         return self.script(received)
 
--- a/tests/test_fleet_requests.py
+++ b/tests/test_fleet_requests.py
@@ -101,7 +101,7 @@
 
 def test_refused_request_is_retried_and_then_answered_as_not_run(system) -> None:
     refusing = [
-        ScriptedInstance(f"i-{number}", "svc", lambda received: [refusal()])
+        ScriptedInstance(f"i-{number}", "svc", lambda received: [refusal(received)])
         for number in range(3)
     ]
     register_and_wait(system, *refusing, kind="non_idempotent")
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -237,10 +237,26 @@
 @pytest.mark.parametrize("status", [400, 421, 429, 503])
 def test_answer_with_the_not_executed_header_is_a_refusal(status) -> None:
     with pytest.raises(RefusedError) as caught:
-        decode(status, ("X-Dotterelpier-Not-Executed", "1"))
+        decode(status, ATTEMPT, ("X-Dotterelpier-Not-Executed", "1"))
     assert caught.value.misdirected == (status == 421)
 
 
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+def test_refusal_that_names_no_attempt_may_belong_to_an_earlier_request(status) -> None:
+    with pytest.raises(AnswerLostError, match="no attempt id"):
+        decode(status, ("X-Dotterelpier-Not-Executed", "1"))
+
+
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+def test_refusal_of_another_attempt_is_a_mismatch(status) -> None:
+    with pytest.raises(AnswerMismatchError):
+        decode(
+            status,
+            (ATTEMPT_ID_HEADER, "try-0"),
+            ("X-Dotterelpier-Not-Executed", "1"),
+        )
+
+
 @pytest.mark.parametrize(
     ("status", "headers"),
     [
