Fleet entries talk over HTTP, and start threads as requests need them

Pings and changes are protobuf bodies of HTTP requests on the same port. Workers of all HTTP front ends start when no started one is idle. Entries of earlier builds do not understand the new messages: they read the store themselves until all are replaced.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
-		--grpc_python_out=. dotterelpier/wire/peers.proto \
+		--grpc_python_out=. dotterelpier/wire/peers.proto
+	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
 		dotterelpier/wire/fleet.proto
 
 soak: setup
--- a/dotterelpier/clients/fleet_peers.py
+++ b/dotterelpier/clients/fleet_peers.py
@@ -1,48 +1,67 @@
-"""Messages to the other entries of a fleet over gRPC."""
+"""Messages to the other entries of a fleet over HTTP."""
 
+import http.client
 import threading
-from typing import Any
+import time
 
-import grpc
 from attrs import define, field
-
+from google.protobuf.message import DecodeError
+
+from dotterelpier.clients.http_connection import (
+    ClientConnection,
+    StrictResponse,
+    is_readable,
+    open_connection,
+    shut_down,
+)
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.model.fleet import FleetMember, StoreReply
 from dotterelpier.protocols.fleet import FleetPeers
-from dotterelpier.wire import fleet_pb2, fleet_pb2_grpc
-from dotterelpier.wire.fleet import decode_changes
+from dotterelpier.wire.fleet import (
+    CHANGES_PATH,
+    MESSAGE_TYPE,
+    PING_PATH,
+    decode_changes,
+    decode_ping_reply,
+    encode_changes_request,
+    encode_ping_request,
+)
 
 # A ping between zones takes a few milliseconds; a busy machine may take longer.
 PING_TIMEOUT_S = 0.7
 CHANGES_TIMEOUT_S = 0.7
-CHANNEL_OPTIONS = (
-    ("grpc.enable_retries", 0),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-    ("grpc.enable_http_proxy", 0),
-)
+STATUS_OK = 200
+# Far above the tables of the largest fleet.
+MAX_REPLY_BYTES = 32 << 20
 
 
 @define
-class GrpcFleetPeers:
-    """gRPC channels to entries, one for each address, without retries by gRPC.
+class HttpFleetPeers:
+    """Connections to entries, at most one idle one for each address.
 
-    Closes the channel after a failed call, so that the next call connects again.
+    A connection is closed after a failed call, so that the next call connects again. A
+    network path that lost the state of a connection drops its packets silently.
     """
 
     _own_name: str
-    _channel_by_address: dict[str, grpc.Channel] = field(factory=dict)
+    _idle_by_address: dict[str, ClientConnection] = field(factory=dict)
+    _in_use: set[ClientConnection] = field(factory=set)
+    _stopped: bool = False
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
-        """Do nothing; a channel is opened by the first call to its address."""
+        """Do nothing; a connection is opened by the first call to its address."""
 
     def stop(self) -> None:
-        """Close all channels; calls in flight fail."""
+        """Close all connections; calls in flight and later ones fail."""
         with self._lock:
-            channels = tuple(self._channel_by_address.values())
-            self._channel_by_address.clear()
-        for channel in channels:
-            channel.close()
+            self._stopped = True
+            idle, in_use = tuple(self._idle_by_address.values()), tuple(self._in_use)
+            self._idle_by_address.clear()
+        for connection in in_use:
+            shut_down(connection.sock)
+        for connection in idle:
+            connection.close()
 
     def ping(self, member: FleetMember) -> None:
         """Check that an entry is alive, with a timeout of ``PING_TIMEOUT_S``.
@@ -52,13 +71,15 @@
         PeerUnavailableError
             If it does not answer in time, or another incarnation answers.
         """
-        request = fleet_pb2.PingRequest(sender=self._own_name)
-        reply = self._call(member, "Ping", request, PING_TIMEOUT_S)
-        if reply.incarnation != member.incarnation:
-            message = (
-                f"incarnation is {reply.incarnation}, expected {member.incarnation}"
-            )
-            raise _unavailable(member, "peer.ping", message)
+        request = encode_ping_request(self._own_name)
+        content = self._call(member, PING_PATH, request, PING_TIMEOUT_S)
+        try:
+            incarnation = decode_ping_reply(content)
+        except DecodeError as error:
+            raise _unavailable(member, PING_PATH, repr(error)) from None
+        if incarnation != member.incarnation:
+            message = f"incarnation is {incarnation}, expected {member.incarnation}"
+            raise _unavailable(member, PING_PATH, message)
 
     def changes(self, member: FleetMember, table: str, after: int) -> StoreReply:
         """Return the changes of a store table after a version, as an entry knows them.
@@ -68,41 +89,72 @@
         PeerUnavailableError
             If the entry does not answer within ``CHANGES_TIMEOUT_S``.
         """
-        request = fleet_pb2.ChangesRequest(table=table, after=after)
-        return decode_changes(self._call(member, "Changes", request, CHANGES_TIMEOUT_S))
+        request = encode_changes_request(table, after)
+        content = self._call(member, CHANGES_PATH, request, CHANGES_TIMEOUT_S)
+        try:
+            return decode_changes(content)
+        except DecodeError as error:
+            raise _unavailable(member, CHANGES_PATH, repr(error)) from None
 
     def _call(
-        self, member: FleetMember, method: str, request: Any, timeout_s: float
-    ) -> Any:
+        self, member: FleetMember, path: str, content: bytes, timeout_s: float
+    ) -> bytes:
+        deadline_at = time.monotonic() + timeout_s
+        address = member.peer_address
         try:
-            stub = fleet_pb2_grpc.FleetPeersStub(self._channel(member.peer_address))
-            return getattr(stub, method)(request, timeout=timeout_s)
-        except (grpc.RpcError, ValueError) as error:
-            # A network path that lost the connection's state drops its packets
-            # silently, so the next call opens a new connection.
-            self._close_channel(member.peer_address)
-            detail = error.details() if isinstance(error, grpc.Call) else str(error)
-            raise _unavailable(member, f"peer.{method.lower()}", str(detail)) from None
-
-    def _channel(self, address: str) -> grpc.Channel:
+            connection = self._take(address, timeout_s)
+        except (OSError, ValueError) as error:
+            raise _unavailable(member, path, repr(error)) from None
+        reusable = False
+        try:
+            connection.deadline_at = deadline_at
+            connection.sock.settimeout(timeout_s)
+            headers = {"Host": address, "Content-Type": MESSAGE_TYPE}
+            connection.request("POST", path, content, headers)
+            response = connection.getresponse()
+            assert isinstance(response, StrictResponse)
+            reply = response.read_whole(MAX_REPLY_BYTES)
+            if response.status != STATUS_OK:
+                raise _unavailable(member, path, f"status {response.status}")
+            reusable = not response.will_close
+        except (OSError, http.client.HTTPException, AttributeError) as error:
+            # ``stop`` may close the connection, which then has no socket.
+            raise _unavailable(member, path, repr(error)) from None
+        finally:
+            self._give_back(address, connection, reusable)
+        return reply
+
+    def _take(self, address: str, timeout_s: float) -> ClientConnection:
+        with self._lock:
+            if self._stopped:
+                raise ConnectionError("the client is stopped")
+            connection = self._idle_by_address.pop(address, None)
+        if connection is not None and is_readable(connection.sock):
+            # The entry closed it, or sent bytes that belong to no call.
+            connection.close()
+            connection = None
+        if connection is None:
+            connection = open_connection(address, timeout_s)
         with self._lock:
-            channel = self._channel_by_address.get(address)
-            if channel is None:
-                channel = grpc.insecure_channel(address, CHANNEL_OPTIONS)
-                self._channel_by_address[address] = channel
-            return channel
+            self._in_use.add(connection)
+        return connection
 
-    def _close_channel(self, address: str) -> None:
+    def _give_back(
+        self, address: str, connection: ClientConnection, reusable: bool
+    ) -> None:
         with self._lock:
-            channel = self._channel_by_address.pop(address, None)
-        if channel is not None:
-            channel.close()
+            self._in_use.discard(connection)
+            if reusable and not self._stopped and address not in self._idle_by_address:
+                self._idle_by_address[address] = connection
+                return
+        connection.close()
 
 
-def _unavailable(member: FleetMember, step: str, detail: str) -> PeerUnavailableError:
+def _unavailable(member: FleetMember, path: str, detail: str) -> PeerUnavailableError:
+    step = f"peer.{path.strip('/')}"
     return PeerUnavailableError(detail, step=step, peer=member.name)
 
 
 def make_fleet_peers(own_name: str) -> FleetPeers:
     """Return the client for other entries, which names ``own_name`` as the sender."""
-    return GrpcFleetPeers(own_name)
+    return HttpFleetPeers(own_name)
--- a/dotterelpier/frontends/fleet_peers.py
+++ b/dotterelpier/frontends/fleet_peers.py
@@ -1,82 +1,93 @@
-"""gRPC front end for the other entries of a fleet."""
+"""HTTP front end for the other entries of a fleet."""
 
-from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from collections.abc import Callable, Iterable, Mapping
 
-import grpc
 from attrs import define
-
-from dotterelpier.errors import SettingsError
+from google.protobuf.message import DecodeError
+from loguru import logger
+
+from dotterelpier.frontends.http_server import (
+    Environ,
+    HttpServer,
+    StartResponse,
+    make_http_server,
+    status_line,
+)
 from dotterelpier.kernel import Kernel
-from dotterelpier.protocols import ServiceName
+from dotterelpier.protocols import ServiceName, Tasks
 from dotterelpier.protocols.fleet import Fleet, Mirrors
-from dotterelpier.wire import fleet_pb2, fleet_pb2_grpc
-from dotterelpier.wire.fleet import encode_changes
-
-# Only a few other entries ping this one, each once a second.
-THREADS = 4
-STOP_GRACE_S = 0.2
-SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
+from dotterelpier.wire.fleet import (
+    CHANGES_PATH,
+    MESSAGE_TYPE,
+    PING_PATH,
+    decode_changes_request,
+    decode_ping_request,
+    encode_changes,
+    encode_ping_reply,
+)
+
+# Only a few other entries ping this one, each once a second; entries of its zone ask a
+# publisher for changes at the same moment.
+THREADS = 8
+MAX_BODY_BYTES = 4096
+MAX_HEADER_BYTES = 16 << 10
 
 
 @define
-class FleetServicer(fleet_pb2_grpc.FleetPeersServicer):  # type: ignore[misc]
-    """Answers pings and requests for table changes from other entries."""
+class FleetPeerApplication:
+    """WSGI application that answers pings and requests for table changes."""
 
     _fleet: Fleet
     _mirrors: Mirrors
 
-    def Ping(  # noqa: N802
-        self, request: fleet_pb2.PingRequest, context: Any
-    ) -> fleet_pb2.PingReply:
-        """Return the name and the incarnation of this entry."""
-        me = self._fleet.me()
-        return fleet_pb2.PingReply(name=me.name, incarnation=me.incarnation)
-
-    def Changes(  # noqa: N802
-        self, request: fleet_pb2.ChangesRequest, context: Any
-    ) -> fleet_pb2.ChangesReply:
-        """Return the changes of a table that this entry knows after a version."""
-        return encode_changes(self._mirrors.changes(request.table, request.after))
-
-
-@define
-class FleetPeerFrontend:
-    """gRPC server for messages of other entries."""
-
-    _servicer: FleetServicer
-    _address: str
-    _server: Any = None
-
-    def start(self) -> None:
-        """Listen, and serve in threads of its own.
-
-        Raises
-        ------
-        SettingsError
-            If the address cannot be listened on.
-        """
-        executor = ThreadPoolExecutor(THREADS, thread_name_prefix="fleet-peer")
-        self._server = grpc.server(executor, options=SERVER_OPTIONS)
-        fleet_pb2_grpc.add_FleetPeersServicer_to_server(self._servicer, self._server)
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one message; an unknown path gets 404, a malformed message 400."""
+        status, body = self._answer(environ)
+        headers = [("Content-Type", MESSAGE_TYPE), ("Content-Length", str(len(body)))]
+        start_response(status_line(status), headers)
+        return [b"" if environ["REQUEST_METHOD"] == "HEAD" else body]
+
+    def _answer(self, environ: Environ) -> tuple[int, bytes]:
+        handler_by_path: Mapping[str, Callable[[bytes], bytes]] = {
+            PING_PATH: self._ping,
+            CHANGES_PATH: self._changes,
+        }
+        handler = handler_by_path.get(environ["PATH_INFO"])
+        if handler is None:
+            return 404, b""
         try:
-            self._server.add_insecure_port(self._address)
-        except RuntimeError as error:
-            raise SettingsError(
-                str(error), step="grpc.listen", peer=self._address
-            ) from None
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop listening; wait for requests in flight, at most for the grace period."""
-        if self._server is not None:
-            self._server.stop(STOP_GRACE_S).wait()
-
-
-def make_fleet_peer_frontend(kernel: Kernel, address: str) -> FleetPeerFrontend:
+            return 200, handler(environ["wsgi.input"].read())
+        except (DecodeError, ValueError) as error:
+            logger.warning(
+                "message of an entry is malformed; refusing it",
+                path=environ["PATH_INFO"],
+                peer=environ.get("REMOTE_ADDR", ""),
+                error=repr(error),
+            )
+            return 400, b""
+
+    def _ping(self, content: bytes) -> bytes:
+        decode_ping_request(content)
+        return encode_ping_reply(self._fleet.me())
+
+    def _changes(self, content: bytes) -> bytes:
+        table, after = decode_changes_request(content)
+        return encode_changes(self._mirrors.changes(table, after))
+
+
+def make_fleet_peer_frontend(kernel: Kernel, address: str) -> HttpServer:
     """Return the front end for other entries, which does not listen yet."""
-    servicer = FleetServicer(
+    application = FleetPeerApplication(
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.MIRRORS, Mirrors),
     )
-    return FleetPeerFrontend(servicer, address)
+    return make_http_server(
+        application,
+        address,
+        THREADS,
+        MAX_BODY_BYTES,
+        MAX_HEADER_BYTES,
+        kernel.find(ServiceName.TASKS, Tasks),
+    )
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -13,6 +13,7 @@
 
 from dotterelpier.clients.http_connection import is_readable, parse_address
 from dotterelpier.errors import SettingsError
+from dotterelpier.frontends.dispatcher import make_dispatcher
 from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.model.route import ClientLimits
 from dotterelpier.protocols import TaskKind, Tasks
@@ -110,7 +111,7 @@
 
 @define
 class HttpServer:
-    """Serves a WSGI application on one address, in a pool of worker threads."""
+    """Serves a WSGI application on one address, in a bounded pool of threads."""
 
     _application: Application
     _address: str
@@ -146,7 +147,7 @@
             map=self._socket_map,
             host=parsed.host,
             port=parsed.port,
-            threads=self._threads,
+            _dispatcher=make_dispatcher(self._threads),  # type: ignore[arg-type]
             ident=None,
             backlog=BACKLOG,
             connection_limit=CONNECTION_LIMIT,
@@ -233,7 +234,7 @@
         self._server.trigger.pull_trigger(
             lambda: wasyncore.close_all(self._socket_map, ignore_all=True)
         )
-        self._server.task_dispatcher.shutdown(timeout=1)
+        self._server.task_dispatcher.shutdown()
 
 
 def _pass_loop_iteration() -> None:
--- a/dotterelpier/wire/fleet.py
+++ b/dotterelpier/wire/fleet.py
@@ -4,6 +4,7 @@
 
 from dotterelpier.model.fleet import (
     Announcement,
+    FleetMember,
     StoreReply,
     StoreRow,
     TableVersions,
@@ -11,6 +12,10 @@
 from dotterelpier.model.instance import HealthReport, LoadFigures, Measurement
 from dotterelpier.wire import fleet_pb2
 
+MESSAGE_TYPE = "application/x-protobuf"
+PING_PATH = "/ping"
+CHANGES_PATH = "/changes"
+
 MS_PER_S = 1000
 PERCENT = 100
 
@@ -83,17 +88,77 @@
     return Announcement(message.sender, tables, message.store_age_ms / MS_PER_S)
 
 
-def encode_changes(reply: StoreReply) -> fleet_pb2.ChangesReply:
-    """Return a reply of the store as a message."""
+def encode_ping_request(sender: str) -> bytes:
+    """Return the body of a ping; ``sender`` is the name of this entry."""
+    return fleet_pb2.PingRequest(sender=sender).SerializeToString()
+
+
+def decode_ping_request(content: bytes) -> str:
+    """Return the name of the entry that sent a ping.
+
+    Raises
+    ------
+    google.protobuf.message.DecodeError
+        If the content is malformed.
+    """
+    return fleet_pb2.PingRequest.FromString(content).sender
+
+
+def encode_ping_reply(me: FleetMember) -> bytes:
+    """Return the body of the answer of this entry to a ping."""
+    reply = fleet_pb2.PingReply(name=me.name, incarnation=me.incarnation)
+    return reply.SerializeToString()
+
+
+def decode_ping_reply(content: bytes) -> str:
+    """Return the incarnation of the entry that answered a ping.
+
+    Raises
+    ------
+    google.protobuf.message.DecodeError
+        If the content is malformed.
+    """
+    return fleet_pb2.PingReply.FromString(content).incarnation
+
+
+def encode_changes_request(table: str, after: int) -> bytes:
+    """Return the body of a request for the changes of a table after a version."""
+    return fleet_pb2.ChangesRequest(table=table, after=after).SerializeToString()
+
+
+def decode_changes_request(content: bytes) -> tuple[str, int]:
+    """Return the table and the version of a request for changes.
+
+    Raises
+    ------
+    google.protobuf.message.DecodeError
+        If the content is malformed.
+    """
+    request = fleet_pb2.ChangesRequest.FromString(content)
+    return request.table, request.after
+
+
+def encode_changes(reply: StoreReply) -> bytes:
+    """Return a reply of the store as the body of an answer."""
     rows = [
         fleet_pb2.Row(key=row.key, value=row.value, version=row.version)
         for row in reply.rows
     ]
-    return fleet_pb2.ChangesReply(rows=rows, version=reply.version, whole=reply.whole)
+    message = fleet_pb2.ChangesReply(
+        rows=rows, version=reply.version, whole=reply.whole
+    )
+    return message.SerializeToString()
 
 
-def decode_changes(message: fleet_pb2.ChangesReply) -> StoreReply:
-    """Return the reply of the store that a message holds."""
+def decode_changes(content: bytes) -> StoreReply:
+    """Return the reply of the store that the body of an answer holds.
+
+    Raises
+    ------
+    google.protobuf.message.DecodeError
+        If the content is malformed.
+    """
+    message = fleet_pb2.ChangesReply.FromString(content)
     rows = tuple(
         StoreRow(row.key, row.value if row.HasField("value") else None, row.version)
         for row in message.rows
