Entries work with a bounded subset of the backend servers

Cause: each entry had a thread for each registered server and checked all of them, each home sent its results to all entries of its zone, and each request looked at all servers of its service, so the whole cost grew with the square of the fleet.

Only homes have a task for a server; the other checks are short tasks, at most 12 at once. Homes tell the entries that use a server. A home checks about twice within the usual work time of its service, 3 to 10 times a second.

--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field
@@ -9,7 +10,6 @@
 
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
-from dotterelpier.fleet.ranking import home
 from dotterelpier.fleet.work_time_estimates import WorkTimeEstimates
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import Instance, LoadFigures, Measurement
@@ -21,6 +21,7 @@
     Fleet,
     Registry,
     Routes,
+    Subsets,
 )
 
 
@@ -28,24 +29,25 @@
 class SharedConditions:
     """Keeps the condition of each backend server, guarded by one lock.
 
-    All methods are thread-safe.
+    Only those of the entry's subset get requests. All methods are thread-safe.
     """
 
     _clock: Clock
     _routes: Routes
     _registry: Registry
     _fleet: Fleet
+    _subsets: Subsets
     _chooser: ConditionChooser = field(factory=ConditionChooser)
-    _work_time_estimates: WorkTimeEstimates = field(factory=WorkTimeEstimates)
+    _work_time_by_route: WorkTimeEstimates = field(factory=WorkTimeEstimates)
+    _work_time_by_service: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
-    _ids_by_service: dict[str, tuple[str, ...]] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
     _watchers_by_id: dict[str, list[Callable[[], None]]] = field(factory=dict)
     _changed: threading.Condition = field(factory=threading.Condition)
 
     def start(self) -> None:
-        """Read the registry and the routes, and subscribe to their changes."""
-        self._registry.subscribe(self.refresh)
+        """Read the registry and the routes, and follow their changes."""
+        self._subsets.subscribe(self.refresh)
         self._routes.subscribe(self.refresh)
         self.refresh()
 
@@ -61,12 +63,12 @@
         table = self._routes.table()
         now = self._clock.monotonic()
         with self._changed:
-            self._work_time_estimates.keep(table.route_names() if table else ())
+            self._work_time_by_route.keep(table.route_names() if table else ())
+            self._work_time_by_service.keep(table.config_by_service if table else ())
             before = self._condition_by_id
             self._condition_by_id = {
                 item.id: _updated(before.get(item.id), item, now) for item in instances
             }
-            self._ids_by_service = _by_service(instances)
             self._apply_evacuations(instances, now)
             self._changed.notify_all()
 
@@ -95,12 +97,14 @@
             return None
         with self._changed:
             now = self._clock.monotonic()
-            ids = self._ids_by_service.get(service, ())
-            usual_work_s = self._work_time_estimates.seconds(route.name)
+            ids = self._subsets.ids_by_service().get(service, ())
+            usual_work_s = self._work_time_by_route.seconds(route.name)
             candidates = [
                 self._condition_by_id[item]
                 for item in ids
-                if item not in excluded and item not in self._evacuated_ids
+                if item not in excluded
+                and item not in self._evacuated_ids
+                and item in self._condition_by_id
             ]
             eligible = [
                 item
@@ -130,9 +134,7 @@
         """
         if not condition.is_cold(now):
             return True
-        instance = condition.instance
-        home_entry = home(instance.id, instance.zone, self._fleet.members())
-        if home_entry is None or home_entry.name != self._fleet.me().name:
+        if condition.instance.id not in self._subsets.home_ids():
             return False
         return condition.has_cold_token(now, per_s)
 
@@ -194,7 +196,14 @@
     def note_answer(self, route: Route, choice: Choice, duration_s: float) -> None:
         """Update the work time estimate of a route after a successful answer."""
         with self._changed:
-            self._work_time_estimates.note(route.name, duration_s, choice.expected_time)
+            expected_time, service = choice.expected_time, choice.instance.service
+            self._work_time_by_route.note(route.name, duration_s, expected_time)
+            self._work_time_by_service.note(service, duration_s, expected_time)
+
+    def usual_work_s(self, service: str) -> float:
+        """Return the usual work time of a service in seconds, 0 while it is unknown."""
+        with self._changed:
+            return self._work_time_by_service.seconds(service)
 
     def note_load(self, instance_id: str, load: LoadFigures) -> None:
         """Record the load report that came with an answer."""
@@ -332,18 +341,33 @@
     def capacity_by_zone(self, services: frozenset[str]) -> Mapping[str, float]:
         """Return the current capacity for some services in slots, by zone.
 
-        Only usable backend servers count, and only those of zones not evacuated.
+        Only usable backend servers count, and only those of zones not evacuated. The
+        servers outside the subset are taken to be usable to the same share as those of
+        their zone in it.
         """
-        capacity: dict[str, float] = {}
         with self._changed:
             now = self._clock.monotonic()
+            ids = self._subsets.ids_by_service()
+            in_subset = {item for service in services for item in ids.get(service, ())}
+            total: Counter[str] = Counter()
+            known: Counter[str] = Counter()
+            usable: dict[str, float] = {}
             for item in self._condition_by_id.values():
-                if item.instance.service not in services or not item.usable():
+                if item.instance.service not in services:
+                    continue
+                if item.instance.id in self._evacuated_ids:
                     continue
-                if item.instance.id not in self._evacuated_ids:
-                    zone = item.instance.zone
-                    capacity[zone] = capacity.get(zone, 0.0) + item.capacity(now)
-        return capacity
+                zone, slots = item.instance.zone, item.instance.slots
+                total[zone] += slots
+                if item.instance.id not in in_subset:
+                    continue
+                known[zone] += slots
+                if item.usable():
+                    usable[zone] = usable.get(zone, 0.0) + item.capacity(now)
+        return {
+            zone: capacity * total[zone] / known[zone]
+            for zone, capacity in usable.items()
+        }
 
 
 def _updated(before: Condition | None, instance: Instance, now: float) -> Condition:
@@ -360,13 +384,6 @@
     return before
 
 
-def _by_service(instances: Iterable[Instance]) -> dict[str, tuple[str, ...]]:
-    ids_by_service: dict[str, tuple[str, ...]] = {}
-    for item in instances:
-        ids_by_service[item.service] = (*ids_by_service.get(item.service, ()), item.id)
-    return ids_by_service
-
-
 def make_conditions(kernel: Kernel) -> Conditions:
     """Return the service, not yet started."""
     return SharedConditions(
@@ -374,4 +391,5 @@
         kernel.find(ServiceName.ROUTES, Routes),
         kernel.find(ServiceName.REGISTRY, Registry),
         kernel.find(ServiceName.FLEET, Fleet),
+        kernel.find(ServiceName.SUBSETS, Subsets),
     )
--- a/dotterelpier/fleet/measurements.py
+++ b/dotterelpier/fleet/measurements.py
@@ -1,6 +1,7 @@
 """Sharing of health check results among the entries of a zone.
 
-The home of each backend server checks it and sends the results to the other entries.
+The home of each backend server checks it and sends the results to the other entries
+that have it in their subset.
 """
 
 import threading
@@ -8,14 +9,15 @@
 from attrs import define, field
 
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.fleet import FleetMember
 from dotterelpier.model.instance import LoadFigures, Measurement
 from dotterelpier.protocols import Clock, ServiceName, Timer
 from dotterelpier.protocols.fleet import (
     Conditions,
     DatagramKind,
     Datagrams,
-    Fleet,
     Measurements,
+    Subsets,
 )
 from dotterelpier.wire.fleet import decode_measurements, encode_measurements
 
@@ -44,7 +46,7 @@
 
     _clock: Clock
     _timer: Timer
-    _fleet: Fleet
+    _subsets: Subsets
     _conditions: Conditions
     _datagrams: Datagrams
     _unsent: list[Measurement] = field(factory=list)
@@ -59,7 +61,7 @@
         """Do nothing; the service runs no task."""
 
     def publish(self, measurement: Measurement) -> None:
-        """Send a result to the other entries of the zone, in the next batch.
+        """Send a result to the entries that use the backend server, in the next batch.
 
         A result that hardly differs from the last one sent is dropped unless that one
         is older than ``RESEND_S``.
@@ -78,18 +80,19 @@
         with self._lock:
             unsent, self._unsent = self._unsent, []
             self._expire_old()
-        me = self._fleet.me()
-        addresses = [
-            member.peer_address
-            for member in self._fleet.members()
-            if member.zone == me.zone and member.name != me.name
-        ]
         now = self._clock.monotonic()
-        for start in range(0, len(unsent), MEASUREMENTS_PER_DATAGRAM):
-            batch = unsent[start : start + MEASUREMENTS_PER_DATAGRAM]
-            content = encode_measurements(batch, now)
-            for address in addresses:
-                self._datagrams.send(address, DatagramKind.MEASUREMENTS, content)
+        batch_by_listeners: dict[tuple[FleetMember, ...], list[Measurement]] = {}
+        for measurement in unsent:
+            listeners = self._subsets.listeners(measurement.instance_id)
+            batch_by_listeners.setdefault(listeners, []).append(measurement)
+        for listeners, measurements in batch_by_listeners.items():
+            for start in range(0, len(measurements), MEASUREMENTS_PER_DATAGRAM):
+                batch = measurements[start : start + MEASUREMENTS_PER_DATAGRAM]
+                content = encode_measurements(batch, now)
+                for member in listeners:
+                    self._datagrams.send(
+                        member.peer_address, DatagramKind.MEASUREMENTS, content
+                    )
 
     def _expire_old(self) -> None:
         oldest = self._clock.monotonic() - EXPIRY_S
@@ -134,7 +137,7 @@
     return ZoneMeasurements(
         kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.TIMER, Timer),
-        kernel.find(ServiceName.FLEET, Fleet),
+        kernel.find(ServiceName.SUBSETS, Subsets),
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.DATAGRAMS, Datagrams),
     )
--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -40,6 +40,8 @@
     _make_follower: Callable[..., TableFollower]
     _follower: TableFollower | None = None
     _member_by_name: dict[str, FleetMember] = field(factory=dict)
+    # Sorted by name; None after a change.
+    _members: tuple[FleetMember, ...] | None = None
     _version_by_name: dict[str, int] = field(factory=dict)
     _sizes: deque[tuple[float, int]] = field(factory=deque)
     _lock: threading.RLock = field(factory=threading.RLock)
@@ -73,10 +75,13 @@
         This entry is included until it leaves.
         """
         with self._lock:
-            member_by_name = dict(self._member_by_name)
-        if not self._leaving:
-            member_by_name[self._me.name] = self._me
-        return tuple(member_by_name[name] for name in sorted(member_by_name))
+            if self._members is None:
+                member_by_name = dict(self._member_by_name)
+                if not self._leaving:
+                    member_by_name[self._me.name] = self._me
+                names = sorted(member_by_name)
+                self._members = tuple(member_by_name[name] for name in names)
+            return self._members
 
     def size(self) -> int:
         """Return the largest number of entries known within ``SIZE_WINDOW_S``."""
@@ -100,7 +105,10 @@
         """
         self._leaving = True
         with self._lock:
+            self._members = None
             version = self._version_by_name.get(self._me.name)
+        for listener in tuple(self._listeners):
+            listener()
         if version is not None:
             self._delete_row(self._me.name, version)
 
@@ -143,6 +151,7 @@
     def _apply_row(self, row: StoreRow) -> None:
         member = _decode(row) if row.value is not None else None
         with self._lock:
+            self._members = None
             before = self._member_by_name.pop(row.key, None)
             if member is not None:
                 self._member_by_name[row.key] = member
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -1,15 +1,19 @@
-"""Health checks of backend servers, one task for each."""
+"""Health checks of the backend servers of this entry's subset.
+
+A backend server whose home this entry is has a task with a connection of its own. The
+others are checked now and then, on connections that are closed after the check.
+"""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Mapping
 
 from attrs import define, field, frozen
+from loguru import logger
 
-from dotterelpier.errors import CallError
-from dotterelpier.fleet.ranking import home
+from dotterelpier.errors import CallError, TaskPoolFullError
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import Instance, Measurement
-from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks
+from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks, Timer
 from dotterelpier.protocols.fleet import (
     Conditions,
     Fleet,
@@ -18,10 +22,15 @@
     Measurements,
     Registry,
     Routes,
+    Subsets,
 )
 
 # The work time of a backend server changes several times a second.
 HOME_INTERVAL_S = 0.1
+# Within the age up to which a result counts, a home sends two.
+MAX_HOME_INTERVAL_S = 0.3
+# A result much newer than the work takes is outdated before its request ends.
+HOME_INTERVAL_WORK_SHARE = 0.5
 SAME_ZONE_INTERVAL_S = 0.25
 # Backend servers of other zones get requests only if this zone lacks room. These checks
 # verify that they can be reached; their registrations show when they leave.
@@ -32,39 +41,62 @@
 # while entries join and leave.
 PROBE_SHARE = 0.6
 CHECK_TIMEOUT_S = 0.5
-# Age up to which the result of another entry replaces an own health check; the home
-# sends two results within it.
+# Age up to which the result of another entry replaces an own health check.
 PEER_RESULT_FRESH_S = 0.7
+# Checks of other homes' backend servers that may run at once; each has a thread.
+MAX_CONCURRENT_CHECKS = 12
 
 
-@frozen
-class ProbeSchedule:
-    """How often an entry checks a backend server.
+@define
+class HealthChecks:
+    """Performs single health checks and records their results."""
 
-    Attributes
-    ----------
-    interval_s : float
-        Time between two checks, in seconds.
-    home : bool
-        Whether this entry is the home and shares the results with its zone.
-    """
+    _clock: Clock
+    _metrics: Metrics
+    _routes: Routes
+    _conditions: Conditions
 
-    interval_s: float
-    home: bool
+    def check(
+        self, instance: Instance, connection: HealthConnection
+    ) -> Measurement | None:
+        """Check a backend server; return None if its service is not configured."""
+        table = self._routes.table()
+        terms = table.config_by_service.get(instance.service) if table else None
+        if terms is None:
+            return None
+        measurement = self._measure(instance, connection, terms.health_path)
+        self._conditions.note_check(measurement)
+        self._metrics.count(
+            "probes",
+            service=instance.service,
+            result="timeout" if measurement.unreachable else "ok",
+        )
+        return measurement
+
+    def _measure(
+        self, instance: Instance, connection: HealthConnection, path: str
+    ) -> Measurement:
+        sent_at = self._clock.monotonic()
+        try:
+            report = connection.check(path, CHECK_TIMEOUT_S)
+        except CallError as error:
+            return Measurement(instance.id, sent_at, unreachable=str(error))
+        if report.instance_id not in ("", instance.id):
+            reason = f"address of {report.instance_id}"
+            return Measurement(instance.id, sent_at, unreachable=reason)
+        return Measurement(instance.id, sent_at, report)
 
 
 @define(eq=False)
-class InstanceProbe:
-    """Task that checks the health of one backend server."""
+class HomeProbe:
+    """Task that checks a backend server whose home this entry is."""
 
     instance: Instance
     _connection: HealthConnection
     _clock: Clock
-    _metrics: Metrics
-    _routes: Routes
+    _checks: HealthChecks
     _conditions: Conditions
     _measurements: Measurements
-    _schedule_for: Callable[[Instance], ProbeSchedule]
     _stopped: threading.Event = field(factory=threading.Event)
 
     def stop(self) -> None:
@@ -73,74 +105,75 @@
         self._connection.close()
 
     def serve(self) -> None:
-        """Check until stopped, unless recent results of another entry suffice."""
-        while True:
-            schedule = self._schedule_for(self.instance)
-            if self._stopped.wait(self._pause_s(schedule)):
-                return
-            if schedule.home or self._conditions.needs_check(
-                self.instance.id, PEER_RESULT_FRESH_S
-            ):
-                self._check(schedule)
-
-    def _pause_s(self, schedule: ProbeSchedule) -> float:
+        """Check until stopped, and publish each result."""
+        while not self._stopped.wait(self._pause_s()):
+            try:
+                measurement = self._checks.check(self.instance, self._connection)
+                if measurement is not None and not self._stopped.is_set():
+                    self._measurements.publish(measurement)
+            except Exception:
+                logger.exception("health check failed unexpectedly; checking again")
+
+    def _pause_s(self) -> float:
         """Return the time until the next multiple of the interval.
 
         The checks of a home thus run together, and their results share datagrams.
         """
-        interval_s = schedule.interval_s
-        if not self._conditions.is_verified(self.instance.id):
-            interval_s = min(interval_s, UNVERIFIED_INTERVAL_S)
+        work_s = self._conditions.usual_work_s(self.instance.service)
+        interval_s = min(
+            MAX_HOME_INTERVAL_S,
+            max(HOME_INTERVAL_S, work_s * HOME_INTERVAL_WORK_SHARE),
+        )
         return interval_s - self._clock.monotonic() % interval_s
 
-    def _check(self, schedule: ProbeSchedule) -> None:
-        table = self._routes.table()
-        terms = table.config_by_service.get(self.instance.service) if table else None
-        if terms is None:
-            return
-        measurement = self._measure(terms.health_path)
-        self._conditions.note_check(measurement)
-        if schedule.home:
-            self._measurements.publish(measurement)
-        self._metrics.count(
-            "probes",
-            service=self.instance.service,
-            result="timeout" if measurement.unreachable else "ok",
-        )
 
-    def _measure(self, path: str) -> Measurement:
-        instance_id, sent_at = self.instance.id, self._clock.monotonic()
-        try:
-            report = self._connection.check(path, CHECK_TIMEOUT_S)
-        except CallError as error:
-            return Measurement(instance_id, sent_at, unreachable=str(error))
-        if report.instance_id not in ("", instance_id):
-            reason = f"address of {report.instance_id}"
-            return Measurement(instance_id, sent_at, unreachable=reason)
-        return Measurement(instance_id, sent_at, report)
+@frozen
+class CheckPlan:
+    """A backend server with another home, and how often this entry checks it.
+
+    Attributes
+    ----------
+    instance : Instance
+        The backend server.
+    interval_s : float
+        Time between two checks, in seconds.
+    same_zone : bool
+        Whether its home tells this entry its results.
+    """
+
+    instance: Instance
+    interval_s: float
+    same_zone: bool
 
 
 @define
 class ZoneProber:
-    """Runs a health check task for each registered backend server."""
+    """Checks the backend servers of the subset, each as often as this entry needs."""
 
     _clock: Clock
     _metrics: Metrics
     _tasks: Tasks
+    _timer: Timer
     _routes: Routes
     _registry: Registry
     _fleet: Fleet
+    _subsets: Subsets
     _conditions: Conditions
     _instances: Instances
     _measurements: Measurements
     _probes_per_s: float
-    _probe_by_id: dict[str, InstanceProbe] = field(factory=dict)
+    _checks: HealthChecks
+    _probe_by_id: dict[str, HomeProbe] = field(factory=dict)
+    _plan_by_id: Mapping[str, CheckPlan] = field(factory=dict)
+    _checked_at_by_id: dict[str, float] = field(factory=dict)
+    _running_ids: set[str] = field(factory=set)
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
-        """Start a task for each backend server, and subscribe to registrations."""
-        self._registry.subscribe(self.refresh)
+        """Start the tasks, and follow changes of the subset."""
+        self._subsets.subscribe(self.refresh)
         self.refresh()
+        self._tasks.submit(TaskKind.CONTROL, self._serve)
 
     def stop(self) -> None:
         """End all tasks."""
@@ -151,54 +184,124 @@
             probe.stop()
 
     def refresh(self) -> None:
-        """Start and stop tasks to match the registry.
+        """Start and stop tasks to match the subset.
 
         A backend server with a new address or incarnation gets a new task.
         """
         instance_by_id = {item.id: item for item in self._registry.instances()}
+        home_ids = self._subsets.home_ids()
         with self._lock:
             for instance_id, probe in tuple(self._probe_by_id.items()):
                 instance = instance_by_id.get(instance_id)
-                if instance is None or _moved(probe.instance, instance):
+                at_home = instance_id in home_ids
+                if instance is None or not at_home or _moved(probe.instance, instance):
                     del self._probe_by_id[instance_id]
                     probe.stop()
-            for instance in instance_by_id.values():
-                if instance.id not in self._probe_by_id:
-                    self._start_probe(instance)
+            for instance_id in home_ids - self._probe_by_id.keys():
+                if instance_id in instance_by_id:
+                    self._start_probe(instance_by_id[instance_id])
+            self._plan_by_id = self._make_plans(instance_by_id, home_ids)
+            for instance_id in self._checked_at_by_id.keys() - self._plan_by_id.keys():
+                del self._checked_at_by_id[instance_id]
 
     def _start_probe(self, instance: Instance) -> None:
-        probe = InstanceProbe(
+        probe = HomeProbe(
             instance,
             self._instances.health_connection(instance),
             self._clock,
-            self._metrics,
-            self._routes,
+            self._checks,
             self._conditions,
             self._measurements,
-            self.schedule,
         )
+        try:
+            self._tasks.submit(TaskKind.MEASURE, probe.serve)
+        except TaskPoolFullError as error:
+            logger.error(
+                "backend server not checked by its home",
+                peer=instance.id,
+                error=error.message,
+            )
+            return
         self._probe_by_id[instance.id] = probe
-        self._tasks.submit(TaskKind.MEASURE, probe.serve)
 
-    def schedule(self, instance: Instance) -> ProbeSchedule:
-        """Return how often this entry checks a backend server.
+    def _make_plans(
+        self, instance_by_id: Mapping[str, Instance], home_ids: frozenset[str]
+    ) -> dict[str, CheckPlan]:
+        """Return the plans for the subset without homes.
 
-        The home checks at a fixed interval. The other entries share a rate that
-        follows from ``probes_per_s``.
+        The entries of a zone share a rate that follows from ``probes_per_s``, and so do
+        all others together.
         """
-        members, me = self._fleet.members(), self._fleet.me()
-        zone_size = sum(member.zone == instance.zone for member in members)
-        # Half for the entries of the zone together, half for all others together.
+        members, zone = self._fleet.members(), self._fleet.me().zone
+        zone_size = sum(member.zone == zone for member in members)
         rate = self._probes_per_s * PROBE_SHARE / 2
-        if instance.zone != me.zone:
-            return ProbeSchedule(
-                max(OTHER_ZONE_INTERVAL_S, (len(members) - zone_size) / rate),
-                home=False,
-            )
-        home_entry = home(instance.id, instance.zone, members)
-        if home_entry is not None and home_entry.name == me.name:
-            return ProbeSchedule(HOME_INTERVAL_S, home=True)
-        return ProbeSchedule(max(SAME_ZONE_INTERVAL_S, zone_size / rate), home=False)
+        same_zone_s = max(SAME_ZONE_INTERVAL_S, zone_size / rate)
+        other_zone_s = max(OTHER_ZONE_INTERVAL_S, (len(members) - zone_size) / rate)
+        plan_by_id = {}
+        for ids in self._subsets.ids_by_service().values():
+            for instance_id in ids:
+                instance = instance_by_id.get(instance_id)
+                if instance is None or instance_id in home_ids:
+                    continue
+                same_zone = instance.zone == zone
+                interval_s = same_zone_s if same_zone else other_zone_s
+                plan_by_id[instance_id] = CheckPlan(instance, interval_s, same_zone)
+        return plan_by_id
+
+    def _serve(self) -> None:
+        subscription = self._timer.every(SAME_ZONE_INTERVAL_S)
+        while subscription.wait():
+            try:
+                self.start_due_checks()
+            except Exception:
+                logger.exception("health checks failed unexpectedly; trying again")
+
+    def start_due_checks(self) -> None:
+        """Start the checks that are due, each in a task of its own."""
+        now = self._clock.monotonic()
+        for plan in tuple(self._plan_by_id.values()):
+            if self._is_due(plan, now) and not self._start_check(plan.instance, now):
+                return
+
+    def _is_due(self, plan: CheckPlan, now: float) -> bool:
+        instance_id = plan.instance.id
+        checked_at = self._checked_at_by_id.get(instance_id)
+        if checked_at is None and plan.same_zone:
+            # Its home has checked it by the next round.
+            self._checked_at_by_id[instance_id] = now - plan.interval_s
+            return False
+        interval_s = plan.interval_s
+        if not self._conditions.is_verified(instance_id):
+            interval_s = min(interval_s, UNVERIFIED_INTERVAL_S)
+        if checked_at is not None and now - checked_at < interval_s:
+            return False
+        return self._conditions.needs_check(instance_id, PEER_RESULT_FRESH_S)
+
+    def _start_check(self, instance: Instance, now: float) -> bool:
+        """Check a backend server in a task; return False if too many checks run."""
+        with self._lock:
+            if instance.id in self._running_ids:
+                return True
+            if len(self._running_ids) >= MAX_CONCURRENT_CHECKS:
+                return False
+            self._running_ids.add(instance.id)
+            self._checked_at_by_id[instance.id] = now
+        try:
+            self._tasks.submit(TaskKind.MEASURE, self._check_once, instance)
+        except TaskPoolFullError:
+            with self._lock:
+                self._running_ids.discard(instance.id)
+            return False
+        return True
+
+    def _check_once(self, instance: Instance) -> None:
+        connection = self._instances.health_connection(instance)
+        try:
+            self._checks.check(instance, connection)
+        finally:
+            connection.close()
+            with self._lock:
+                self._running_ids.discard(instance.id)
 
 
 def _moved(before: Instance, after: Instance) -> bool:
@@ -219,15 +322,22 @@
         Limit on the health checks of one backend server per second, by all entries
         together.
     """
+    clock = kernel.find(ServiceName.CLOCK, Clock)
+    metrics = kernel.find(ServiceName.METRICS, Metrics)
+    routes = kernel.find(ServiceName.ROUTES, Routes)
+    conditions = kernel.find(ServiceName.CONDITIONS, Conditions)
     return ZoneProber(
-        kernel.find(ServiceName.CLOCK, Clock),
-        kernel.find(ServiceName.METRICS, Metrics),
+        clock,
+        metrics,
         kernel.find(ServiceName.TASKS, Tasks),
-        kernel.find(ServiceName.ROUTES, Routes),
+        kernel.find(ServiceName.TIMER, Timer),
+        routes,
         kernel.find(ServiceName.REGISTRY, Registry),
         kernel.find(ServiceName.FLEET, Fleet),
-        kernel.find(ServiceName.CONDITIONS, Conditions),
+        kernel.find(ServiceName.SUBSETS, Subsets),
+        conditions,
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.MEASUREMENTS, Measurements),
         probes_per_s,
+        HealthChecks(clock, metrics, routes, conditions),
     )
--- a/dotterelpier/fleet/ranking.py
+++ b/dotterelpier/fleet/ranking.py
@@ -16,28 +16,18 @@
 
     The order in which they are given does not matter.
     """
-    return sorted(members, key=lambda member: _weight(key, member.name), reverse=True)
+    return sorted(members, key=lambda member: weight(key, member.name), reverse=True)
 
 
-def home(key: str, zone: str, members: Iterable[FleetMember]) -> FleetMember | None:
-    """Return the member that is the home of a backend server, None without members.
+def first(key: str, members: Iterable[FleetMember]) -> FleetMember | None:
+    """Return the member that ranks first for a key, None without members.
 
-    It is a member of the same zone if there is one, and of any other zone if not.
-
-    Parameters
-    ----------
-    key : str
-        Id of the backend server.
-    zone : str
-        Zone of the backend server.
-    members : iterable of FleetMember
-        Members to choose from.
+    The home of a backend server ranks first for its id, among the entries of its zone
+    if there are any.
     """
-    members = tuple(members)
-    same_zone = [member for member in members if member.zone == zone]
-    ranked = rank(key, same_zone or members)
-    return ranked[0] if ranked else None
+    return max(members, key=lambda member: weight(key, member.name), default=None)
 
 
-def _weight(key: str, name: str) -> bytes:
+def weight(key: str, name: str) -> bytes:
+    """Return the rendezvous weight of a name for a key; weights compare as bytes."""
     return blake2b(f"{key}\n{name}".encode(), digest_size=DIGEST_BYTES).digest()
--- a/dotterelpier/fleet/work_time_estimates.py
+++ b/dotterelpier/fleet/work_time_estimates.py
@@ -1,4 +1,4 @@
-"""Estimates of how long requests of each route take at the usual work time."""
+"""Estimates of how long requests take at the usual work time, by a key."""
 
 from collections.abc import Iterable
 
@@ -12,20 +12,20 @@
 
 @define
 class WorkTimeEstimates:
-    """Keeps an estimate by route, near a low quantile of the measured durations.
+    """Keeps an estimate by route or service, near a low quantile of the durations.
 
     Not thread-safe; ``SharedConditions`` calls it under its lock.
     """
 
-    _seconds_by_route: dict[str, float] = field(factory=dict)
+    _seconds_by_key: dict[str, float] = field(factory=dict)
 
-    def note(self, route: str, duration_s: float, expected_time: float) -> None:
-        """Update the estimate of a route with the duration of an answer.
+    def note(self, key: str, duration_s: float, expected_time: float) -> None:
+        """Update the estimate of a key with the duration of an answer.
 
         Parameters
         ----------
-        route : str
-            Name of the route.
+        key : str
+            Name of the route or service.
         duration_s : float
             Time from sending to the answer, in seconds.
         expected_time : float
@@ -33,15 +33,15 @@
             duration is divided by it, or by 1 if it is less.
         """
         sample = duration_s / max(1.0, expected_time)
-        before = self._seconds_by_route.get(route, sample)
+        before = self._seconds_by_key.get(key, sample)
         weight = WEIGHT_OF_SHORTER if sample < before else WEIGHT_OF_LONGER
-        self._seconds_by_route[route] = before + weight * (sample - before)
+        self._seconds_by_key[key] = before + weight * (sample - before)
 
-    def seconds(self, route: str) -> float:
-        """Return the usual work time of a route in seconds, 0 while it is unknown."""
-        return self._seconds_by_route.get(route, 0.0)
+    def seconds(self, key: str) -> float:
+        """Return the usual work time of a key in seconds, 0 while it is unknown."""
+        return self._seconds_by_key.get(key, 0.0)
 
-    def keep(self, routes: Iterable[str]) -> None:
-        """Drop the estimates of all other routes."""
-        for route in self._seconds_by_route.keys() - set(routes):
-            del self._seconds_by_route[route]
+    def keep(self, keys: Iterable[str]) -> None:
+        """Drop the estimates of all other keys."""
+        for key in self._seconds_by_key.keys() - set(keys):
+            del self._seconds_by_key[key]
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -23,6 +23,7 @@
 from dotterelpier.fleet.retry_budget import make_retry_budget
 from dotterelpier.fleet.routes import make_routes
 from dotterelpier.fleet.store_link import make_store_link
+from dotterelpier.fleet.subsets import make_subsets
 from dotterelpier.fleet_settings import FleetEntrySettings, FleetSettings
 from dotterelpier.frontends.clients import make_client_frontend
 from dotterelpier.frontends.fleet_peers import make_fleet_peer_frontend
@@ -129,7 +130,9 @@
     kernel.register(ServiceName.REGISTRY, make_registry(kernel), dependencies)
     fleet = make_fleet(kernel, _make_member(settings.entry))
     kernel.register(ServiceName.FLEET, fleet, dependencies)
-    dependencies = (ServiceName.ROUTES, ServiceName.REGISTRY, ServiceName.FLEET)
+    dependencies = (ServiceName.REGISTRY, ServiceName.FLEET)
+    kernel.register(ServiceName.SUBSETS, make_subsets(kernel), dependencies)
+    dependencies = (ServiceName.ROUTES, ServiceName.SUBSETS)
     kernel.register(ServiceName.CONDITIONS, make_conditions(kernel), dependencies)
     dependencies = (ServiceName.CONDITIONS, ServiceName.DATAGRAMS)
     kernel.register(ServiceName.MEASUREMENTS, make_measurements(kernel), dependencies)
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -21,6 +21,7 @@
     Measurements,
     Registry,
     Routes,
+    Subsets,
 )
 from dotterelpier.protocols.fleet.store import (
     Codec,
@@ -54,4 +55,5 @@
     "RowStore",
     "StoreLink",
     "Stores",
+    "Subsets",
 ]
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -86,6 +86,32 @@
         ...
 
 
+class Subsets(Protocol):
+    """The backend servers that this entry works with."""
+
+    def ids_by_service(self) -> Mapping[str, tuple[str, ...]]:
+        """Return the ids of the backend servers to send to, by service."""
+        ...
+
+    def home_ids(self) -> frozenset[str]:
+        """Return the ids of the backend servers whose home this entry is.
+
+        The home checks a backend server, and paces it while it is cold.
+        """
+        ...
+
+    def listeners(self, instance_id: str) -> tuple[FleetMember, ...]:
+        """Return the entries to tell about a backend server at home here."""
+        ...
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each change of the registry, the fleet or the subset.
+
+        It runs in the thread that applied the change and must not block.
+        """
+        ...
+
+
 class FleetPeers(Protocol):
     """Messages to other entries."""
 
@@ -208,6 +234,10 @@
         """
         ...
 
+    def usual_work_s(self, service: str) -> float:
+        """Return the usual work time of a service in seconds, 0 while it is unknown."""
+        ...
+
     def watch_slowdown(
         self, instance_id: str, listener: Callable[[], None]
     ) -> Callable[[], None]:
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -46,6 +46,7 @@
     REGISTRY = "registry"
     FLEET = "fleet"
     LIVENESS = "liveness"
+    SUBSETS = "subsets"
     CONDITIONS = "conditions"
     INSTANCES = "instances"
     PROBER = "prober"
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -17,9 +17,10 @@
 from dotterelpier.fleet.condition import QUARANTINE_FIRST_S, Condition
 from dotterelpier.fleet.conditions import SharedConditions
 from dotterelpier.fleet.directory import CapacityDirectory
-from dotterelpier.fleet.ranking import home, rank
+from dotterelpier.fleet.ranking import first, rank
 from dotterelpier.fleet.retry_budget import SharedRetryBudget
 from dotterelpier.fleet.splitting import WeightedSplit
+from dotterelpier.fleet.subsets import ZoneSubsets
 from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.model.instance import (
@@ -59,6 +60,9 @@
     def size(self) -> int:
         return len(self.known)
 
+    def subscribe(self, listener) -> None:
+        """Do nothing; each test calls ``refresh`` itself."""
+
 
 class Routes:
     """Fake routes with one table; a test sets the evacuated zones."""
@@ -89,10 +93,19 @@
         """Do nothing; each test calls ``refresh`` itself."""
 
 
+class NoMetrics:
+    """Metrics service that drops its values."""
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Do nothing."""
+
+
 def conditions_of(*instances: Instance, fleet: Fleet | None = None):
     clock, routes, registry = ManualClock(), Routes(), Registry(*instances)
     fleet = fleet or Fleet(member("e-1"))
-    conditions = SharedConditions(clock, routes, registry, fleet)
+    subsets = ZoneSubsets(registry, fleet, NoMetrics())
+    conditions = SharedConditions(clock, routes, registry, fleet, subsets)
+    subsets.start()
     conditions.start()
     return conditions, clock, routes, registry
 
@@ -265,13 +278,13 @@
 def test_ranking_ignores_member_order_and_moves_few_homes() -> None:
     members = [member(f"e-{number}") for number in range(10)]
     keys = [f"i-{number}" for number in range(200)]
-    before = {key: home(key, "a", members).name for key in keys}
-    after = {key: home(key, "a", members[:-1]).name for key in keys}
+    before = {key: first(key, members).name for key in keys}
+    after = {key: first(key, members[:-1]).name for key in keys}
     assert rank("k", members) == rank("k", reversed(members))
     moved = [key for key in keys if before[key] != after[key]]
     assert all(before[key] == "e-9" for key in moved)
-    assert home("i-1", "z", members) is not None
-    assert home("i-1", "a", ()) is None
+    assert all(first(key, members) == rank(key, members)[0] for key in keys)
+    assert first("i-1", ()) is None
 
 
 def directory(capacity, *members: FleetMember):
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -1,50 +1,157 @@
-"""Interval of the health checks of a backend server."""
+"""Which backend servers an entry checks, and when."""
 
 from typing import Any
 
 import pytest
+from attrs import define, field
 
 from dotterelpier.fleet.prober import (
+    HOME_INTERVAL_S,
+    MAX_CONCURRENT_CHECKS,
+    MAX_HOME_INTERVAL_S,
     OTHER_ZONE_INTERVAL_S,
+    SAME_ZONE_INTERVAL_S,
     UNVERIFIED_INTERVAL_S,
-    InstanceProbe,
-    ProbeSchedule,
+    HomeProbe,
+    ZoneProber,
 )
 from dotterelpier.model.instance import Instance
 from tests.fakes import ManualClock
+from tests.test_fleet_decisions import Fleet, Registry, member
 
-INSTANCE = Instance("i-1", "shop", "x:1", "b", 4)
+HOME = Instance("home", "shop", "x:1", "a", 4)
+SAME_ZONE = Instance("same", "shop", "x:2", "a", 4)
+OTHER_ZONE = Instance("other", "shop", "x:3", "b", 4)
+NOTHING: Any = None
 
 
+@define
 class Conditions:
-    """Fake that reports only whether a backend server is verified."""
+    """Fake whose verified servers and fresh results a test sets."""
 
-    def __init__(self, verified: bool) -> None:
-        self.verified = verified
+    verified_ids: set[str] = field(factory=set)
+    fresh_ids: set[str] = field(factory=set)
+    work_s: float = 0.0
 
     def is_verified(self, instance_id: str) -> bool:
-        return self.verified
+        return instance_id in self.verified_ids
+
+    def needs_check(self, instance_id: str, fresh_s: float) -> bool:
+        return instance_id not in self.fresh_ids
+
+    def usual_work_s(self, service: str) -> float:
+        return self.work_s
+
+
+@define
+class Subsets:
+    """Fake with a subset of given servers; the first is at home here."""
+
+    instances: tuple[Instance, ...]
+
+    def ids_by_service(self) -> dict[str, tuple[str, ...]]:
+        return {"shop": tuple(item.id for item in self.instances)}
+
+    def home_ids(self) -> frozenset[str]:
+        return frozenset(item.id for item in self.instances if item.id == "home")
+
+
+@define
+class Submitted:
+    """Fake task service that keeps the arguments of what is submitted."""
+
+    started: list[Any] = field(factory=list)
+
+    def submit(self, kind: Any, function: Any, *args: Any) -> None:
+        self.started.append(args[0].id if args else "home task")
+
+
+class HealthConnections:
+    """Fake client of which no connection is used."""
+
+    def health_connection(self, instance: Instance) -> Any:
+        return NOTHING
+
+
+def prober_of(*instances: Instance):
+    clock, tasks, conditions = ManualClock(now=100.0), Submitted(), Conditions()
+    prober = ZoneProber(
+        clock,
+        NOTHING,
+        tasks,
+        NOTHING,
+        NOTHING,
+        Registry(*instances),
+        Fleet(member("e-1")),
+        Subsets(instances),
+        conditions,
+        HealthConnections(),
+        NOTHING,
+        60.0,
+        NOTHING,
+    )
+    prober.refresh()
+    return prober, clock, tasks, conditions
+
+
+def checks_within(prober, clock, tasks, seconds: float) -> list[str]:
+    """Return the checks started meanwhile, each taken to end at once."""
+    tasks.started.clear()
+    for _ in range(round(seconds / SAME_ZONE_INTERVAL_S)):
+        prober.start_due_checks()
+        prober._running_ids.clear()
+        clock.advance(SAME_ZONE_INTERVAL_S)
+    return tasks.started
+
+
+def test_only_homes_have_a_task() -> None:
+    _, _, tasks, _ = prober_of(HOME, SAME_ZONE, OTHER_ZONE)
+    assert tasks.started == ["home task"]
+
+
+def test_server_with_fresh_results_of_its_home_is_not_checked() -> None:
+    prober, clock, tasks, conditions = prober_of(SAME_ZONE)
+    conditions.verified_ids.add("same")
+    conditions.fresh_ids.add("same")
+    assert checks_within(prober, clock, tasks, 10.0) == []
+
+
+def test_server_without_results_of_its_home_is_checked() -> None:
+    prober, clock, tasks, _ = prober_of(SAME_ZONE)
+    assert 9 <= len(checks_within(prober, clock, tasks, 10.0)) <= 41
+
+
+def test_unverified_server_of_another_zone_is_checked_soon() -> None:
+    prober, clock, tasks, conditions = prober_of(OTHER_ZONE)
+    count = len(checks_within(prober, clock, tasks, 10.0))
+    assert count == round(10.0 / UNVERIFIED_INTERVAL_S)
+    conditions.verified_ids.add("other")
+    count = len(checks_within(prober, clock, tasks, 3 * OTHER_ZONE_INTERVAL_S))
+    assert count == 3
+
+
+def test_hanging_checks_are_bounded_and_the_others_follow() -> None:
+    instances = [
+        Instance(f"i-{number}", "shop", "x:1", "b", 4)
+        for number in range(2 * MAX_CONCURRENT_CHECKS)
+    ]
+    prober, clock, tasks, _ = prober_of(*instances)
+    prober.start_due_checks()
+    prober.start_due_checks()
+    assert len(tasks.started) == MAX_CONCURRENT_CHECKS
+    prober._running_ids.clear()
+    clock.advance(SAME_ZONE_INTERVAL_S)
+    prober.start_due_checks()
+    assert set(tasks.started) == {item.id for item in instances}
 
 
 @pytest.mark.parametrize(
-    ("verified", "interval_s"),
-    [(True, OTHER_ZONE_INTERVAL_S), (False, UNVERIFIED_INTERVAL_S)],
+    ("work_s", "interval_s"),
+    [(0.0, HOME_INTERVAL_S), (0.4, 0.2), (3.0, MAX_HOME_INTERVAL_S)],
 )
-def test_unverified_server_of_another_zone_is_checked_soon(
-    verified: bool, interval_s: float
+def test_home_checks_as_often_as_the_work_of_its_server_changes(
+    work_s: float, interval_s: float
 ) -> None:
-    nothing: Any = None
-    conditions: Any = Conditions(verified)
-    probe = InstanceProbe(
-        INSTANCE,
-        nothing,
-        ManualClock(now=0.0),
-        nothing,
-        nothing,
-        conditions,
-        nothing,
-        nothing,
-    )
-    assert (
-        probe._pause_s(ProbeSchedule(OTHER_ZONE_INTERVAL_S, home=False)) == interval_s
-    )
+    conditions: Any = Conditions(work_s=work_s)
+    probe = HomeProbe(HOME, NOTHING, ManualClock(now=0.0), NOTHING, conditions, NOTHING)
+    assert probe._pause_s() == pytest.approx(interval_s)
