--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -36,6 +36,9 @@
 # is well below the time within which a change must be in force, and longer than the
 # publisher's shortest watch plus one lost announcement.
 MAX_STALENESS_S = 1.3
+# Entries of other zones have a publisher of their own, so in large fleets each hears of
+# this one by every few announcements.
+DISTANT_RECEIVERS = 64
 # A fleet of one zone gets a second publisher.
 MIN_PUBLISHERS = 2
 
@@ -63,6 +66,7 @@
     _store_answered_at: float = float("-inf")
     _is_publisher: bool = True
     _had_other_publisher: bool = False
+    _next_distant: int = 0
     _announce_now: threading.Event = field(factory=threading.Event)
     _stopped: bool = False
     _changed: threading.Condition = field(factory=threading.Condition)
@@ -245,11 +249,23 @@
         with self._changed:
             tables = tuple(item.versions() for item in self._mirror_by_table.values())
         content = encode_announcement(Announcement(me.name, tables, store_age_s))
-        for member in fleet.members():
-            if member.name != me.name:
-                self._datagrams.send(
-                    member.peer_address, DatagramKind.ANNOUNCEMENT, content
-                )
+        for member in self._receivers(me, fleet.members()):
+            self._datagrams.send(
+                member.peer_address, DatagramKind.ANNOUNCEMENT, content
+            )
+
+    def _receivers(
+        self, me: FleetMember, members: tuple[FleetMember, ...]
+    ) -> list[FleetMember]:
+        """Return the entries of this zone, and the next part of those elsewhere."""
+        near = [item for item in members if item.zone == me.zone and item != me]
+        distant = [item for item in members if item.zone != me.zone]
+        if len(distant) <= DISTANT_RECEIVERS:
+            return near + distant
+        start = self._next_distant % len(distant)
+        self._next_distant = start + DISTANT_RECEIVERS
+        part = (distant + distant)[start : start + DISTANT_RECEIVERS]
+        return near + part
 
     def _drop_stale_announcements(self) -> None:
         with self._changed:
