Starting entries read the tables from seeds; tasks survive unexpected errors

Cause (calls to the store): at its start each entry read three tables and watched them until it heard of a publisher, about ten calls. An entry now asks the seeds of its settings for at most 1.5 s, and reads the tables from one whose copies are current; the age of its last store reply goes with the answer, so a seed that lost the store brings nothing back. Long replies are compressed. How long a watch of the publishers lasts follows the time within which a change must be in force (bounds.change_ms), 0.7 s at 2 s as before.

Cause (tasks): a request of a peer for an unknown table made a copy that nobody completes; its version -1 cannot be encoded, and the error ended the task that announces the tables for good (found by tests/test_fleet_peers.py). Copies are not made on request, tasks that an entry depends on are started again after an unexpected error, rows that cannot be applied do not hold up the later ones, rows of entries with malformed addresses are dropped.

--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -512,7 +512,7 @@
 
     def start(self) -> None:
         """Start the task that aborts overdue exchanges."""
-        self._tasks.submit(TaskKind.CONTROL, self._abort_overdue)
+        self._tasks.supervise(TaskKind.CONTROL, self._abort_overdue)
 
     def stop(self) -> None:
         """Close all connections; exchanges in flight and later ones fail."""
--- a/dotterelpier/clients/datagrams.py
+++ b/dotterelpier/clients/datagrams.py
@@ -46,7 +46,7 @@
             raise SettingsError(
                 error.strerror or str(error), step="udp.listen", peer=self._address
             ) from None
-        self._tasks.submit(TaskKind.PEER, self._serve)
+        self._tasks.supervise(TaskKind.PEER, self._serve)
 
     def stop(self) -> None:
         """End the receiving task, which then closes the socket."""
@@ -69,10 +69,10 @@
     def _send(self, address: str, content: bytes) -> None:
         if self._socket is None:
             return
-        parsed = parse_address(address)
         try:
+            parsed = parse_address(address)
             self._socket.sendto(content, (parsed.host, parsed.port))
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
             logger.info(
                 "sending a datagram failed; dropping it",
                 peer=address,
--- a/dotterelpier/clients/fleet_peers.py
+++ b/dotterelpier/clients/fleet_peers.py
@@ -15,12 +15,14 @@
     shut_down,
 )
 from dotterelpier.errors import PeerUnavailableError
-from dotterelpier.model.fleet import FleetMember, StoreReply
+from dotterelpier.model.fleet import Announcement, FleetMember, StoreReply
 from dotterelpier.protocols.fleet import FleetPeers
 from dotterelpier.wire.fleet import (
+    ANNOUNCEMENT_PATH,
     CHANGES_PATH,
     MESSAGE_TYPE,
     PING_PATH,
+    decode_announcement,
     decode_changes,
     decode_ping_reply,
     encode_changes_request,
@@ -96,6 +98,21 @@
         except DecodeError as error:
             raise _unavailable(member, CHANGES_PATH, repr(error)) from None
 
+    def announcement(self, member: FleetMember) -> Announcement:
+        """Return the versions of the tables that an entry holds.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If its copies may be outdated, or it does not answer within
+            ``PING_TIMEOUT_S``.
+        """
+        content = self._call(member, ANNOUNCEMENT_PATH, b"", PING_TIMEOUT_S)
+        try:
+            return decode_announcement(content)
+        except DecodeError as error:
+            raise _unavailable(member, ANNOUNCEMENT_PATH, repr(error)) from None
+
     def _call(
         self, member: FleetMember, path: str, content: bytes, timeout_s: float
     ) -> bytes:
--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -19,9 +19,6 @@
 from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import Mirrors, RowStore, StoreLink, Stores
 
-# The store probe detects an outage within this time plus the timeout margin of a watch.
-# A watch that starts during an outage ends within the same time after the recovery.
-STORE_PROBE_WAIT_S = 0.7
 # A dead connection is detected within this time; the store limits a watch to 30 s.
 WATCH_WAIT_S = 5.0
 # Delay of the store probe after a failed call.
@@ -75,7 +72,7 @@
 
     def start(self) -> None:
         """Follow the table in a task of its own."""
-        self._tasks.submit(TaskKind.CONTROL, self._serve)
+        self._tasks.supervise(TaskKind.CONTROL, self._serve)
         if not self.is_store_probe:
             self._link.subscribe_recovery(self._store.abort)
 
@@ -109,10 +106,19 @@
     def _follow_once(self) -> None:
         reply = self._next_reply()
         self._link.record_success()
-        if reply.whole:
-            self.on_snapshot(reply.rows)
-        elif reply.rows:
-            self.on_changes(reply.rows)
+        try:
+            if reply.whole:
+                self.on_snapshot(reply.rows)
+            elif reply.rows:
+                self.on_changes(reply.rows)
+        except Exception:
+            # The same rows would fail again; the later ones must not wait for them.
+            logger.exception(
+                "rows not applied; following the later changes",
+                table=self.table,
+                after=self._cursor,
+                version=reply.version,
+            )
         if reply.version >= 0:
             self._cursor = reply.version
         if reply.rows and self.batch_pause_s:
@@ -126,7 +132,8 @@
         if self._cursor is None:
             reply = self._store.read(self.table)
         else:
-            wait_s = STORE_PROBE_WAIT_S if self.is_store_probe else WATCH_WAIT_S
+            probe_wait_s = self._mirrors.store_probe_wait_s()
+            wait_s = probe_wait_s if self.is_store_probe else WATCH_WAIT_S
             reply = self._store.watch(self.table, self._cursor, wait_s)
         self._mirrors.apply_reply(self.table, reply, is_store_probe=self.is_store_probe)
         return reply
@@ -138,7 +145,9 @@
         if self._mirrors.is_publisher():
             backing_off = self._clock.monotonic() < self._store_backoff_until
             return backing_off and self._mirrors.has_other_publisher()
-        wait_s = 0.0 if self._cursor is None else ANNOUNCEMENT_WAIT_S
+        wait_s = self._mirrors.seed_wait_s()
+        if self._cursor is not None:
+            wait_s = max(wait_s, ANNOUNCEMENT_WAIT_S)
         return self._mirrors.wait_for_other_publisher(wait_s)
 
     def _back_off(self, error: PlatformError) -> None:
--- a/dotterelpier/fleet/liveness.py
+++ b/dotterelpier/fleet/liveness.py
@@ -100,7 +100,7 @@
                 if name not in self._monitor_by_name:
                     monitor = PeerMonitor(member, self._fleet, self._peers, self._link)
                     self._monitor_by_name[name] = monitor
-                    self._tasks.submit(TaskKind.PEER, monitor.serve)
+                    self._tasks.supervise(TaskKind.PEER, monitor.serve)
 
     def _monitored_members(self) -> list[FleetMember]:
         members = self._fleet.members()
--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -15,6 +15,7 @@
 from dotterelpier.model.fleet import FleetMember, StoreRow
 from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import Fleet, RowStore, StoreLink, Stores
+from dotterelpier.wire.manifest_toml import is_address
 from dotterelpier.wire.structure import structure
 
 TABLE = "entries"
@@ -55,7 +56,7 @@
         """Follow the rows, and write the row of this entry in a task of its own."""
         self._follower = self._make_follower(self.apply_snapshot, self.apply_changes)
         self._follower.start()
-        self._tasks.submit(TaskKind.CONTROL, self._maintain_own_row)
+        self._tasks.supervise(TaskKind.CONTROL, self._maintain_own_row)
         self._write_requested.set()
 
     def stop(self) -> None:
@@ -200,8 +201,12 @@
 def _decode(row: StoreRow) -> FleetMember | None:
     assert row.value is not None
     try:
-        return structure(json.loads(row.value), FleetMember, extra_keys=True)
-    except ValueError as error:
+        member = structure(json.loads(row.value), FleetMember, extra_keys=True)
+        for address in (member.caller_address, member.peer_address):
+            if not is_address(address):
+                raise ValueError(f"{address!r} is not IP:port")
+        return member
+    except (ValueError, RecursionError) as error:
         logger.warning(
             "row of an entry is malformed; counting the entry as gone",
             peer=row.key,
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -5,6 +5,7 @@
 it. An entry that receives no announcements watches the store itself.
 """
 
+import itertools
 import threading
 
 from attrs import define, field, frozen
@@ -13,6 +14,7 @@
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet.mirror import TableMirror
 from dotterelpier.fleet.ranking import rank
+from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import (
     Announcement,
@@ -32,10 +34,17 @@
 
 STEP = "mirrors"
 ANNOUNCE_INTERVAL_S = 0.25
-# A publisher's tables count as current for this long after the store answered it. This
-# is well below the time within which a change must be in force, and longer than the
+# A publisher's tables count as current for this long after the store answered it, as a
+# share of the time within which a change must be in force. It is longer than the
 # publisher's shortest watch plus one lost announcement.
-MAX_STALENESS_S = 1.3
+STALENESS_SHARE = 0.65
+# Longest watch of the store probe, as a share of the same time. An outage is detected
+# within it plus the timeout margin of a watch; a watch that starts during an outage
+# ends within it after the recovery.
+STORE_PROBE_WAIT_SHARE = 0.35
+# How long an entry that starts asks the seeds before it reads the store itself.
+SEED_WAIT_S = 1.5
+SEED_RETRY_S = 0.2
 # Entries of other zones have a publisher of their own, so in large fleets each hears of
 # this one by every few announcements.
 DISTANT_RECEIVERS = 64
@@ -61,12 +70,16 @@
     _tasks: Tasks
     _datagrams: Datagrams
     _peers: FleetPeers
+    _change_s: float
+    _own_address: str
+    _seeds: tuple[str, ...]
     _mirror_by_table: dict[str, TableMirror] = field(factory=dict)
     _received_by_sender: dict[str, ReceivedAnnouncement] = field(factory=dict)
     _store_answered_at: float = float("-inf")
     _is_publisher: bool = True
     _had_other_publisher: bool = False
     _next_distant: int = 0
+    _seeds_until: float = float("-inf")
     _announce_now: threading.Event = field(factory=threading.Event)
     _stopped: bool = False
     _changed: threading.Condition = field(factory=threading.Condition)
@@ -74,9 +87,12 @@
     def start(self) -> None:
         """Listen for announcements, and start the task that sends them."""
         self._datagrams.subscribe(DatagramKind.ANNOUNCEMENT, self._receive)
+        if self._seeds and self._own_address not in self._seeds:
+            self._seeds_until = self._clock.monotonic() + SEED_WAIT_S
+            self._tasks.supervise(TaskKind.CONTROL, self._ask_seeds)
         self._fleet().subscribe(self._update_role)
         self._update_role()
-        self._tasks.submit(TaskKind.CONTROL, self._serve)
+        self._tasks.supervise(TaskKind.CONTROL, self._serve)
 
     def stop(self) -> None:
         """End the task and wake up all waiting threads."""
@@ -90,6 +106,43 @@
         """Return whether this entry watches the store for the others of its zone."""
         return self._is_publisher
 
+    def store_probe_wait_s(self) -> float:
+        """Return how long a watch of the store probe may last, in seconds."""
+        return self._change_s * STORE_PROBE_WAIT_SHARE
+
+    def seed_wait_s(self) -> float:
+        """Return for how long a first read should wait for a seed, in seconds."""
+        return max(0.0, self._seeds_until - self._clock.monotonic())
+
+    def announcement(self) -> Announcement:
+        """Return the versions of the copies held here, publisher or not.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If the copies may be outdated.
+        """
+        with self._changed:
+            answered_at = [
+                item.store_answered_at
+                for item in self._fresh_announcements()
+                if self._is_caught_up(item)
+            ]
+            current_at = max((self._store_answered_at, *answered_at))
+        store_age_s = self._clock.monotonic() - current_at
+        if store_age_s >= self._max_staleness_s():
+            message = "copies of the tables may be outdated"
+            name = self._fleet().me().name
+            raise PeerUnavailableError(message, step=STEP, peer=name)
+        return self._make_announcement(store_age_s)
+
+    def _is_caught_up(self, received: ReceivedAnnouncement) -> bool:
+        """Return whether the copies hold all changes that were announced."""
+        return all(
+            self._mirror(table).versions().complete_to >= versions.changed
+            for table, versions in received.versions_by_table.items()
+        )
+
     def has_other_publisher(self) -> bool:
         """Return whether a fresh announcement of another entry is known."""
         with self._changed:
@@ -113,7 +166,9 @@
     def changes(self, table: str, after: int) -> StoreReply:
         """Return the changes of a table after a version from the copy held here."""
         with self._changed:
-            return self._mirror(table).changes(after)
+            # A request must not create a copy: nothing would ever complete it.
+            mirror = self._mirror_by_table.get(table) or TableMirror(table)
+            return mirror.changes(after)
 
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
         """Return the changes of a table after a version from a publisher.
@@ -169,7 +224,8 @@
                 if now >= until:
                     return None
                 stale_at = (
-                    max(item.store_answered_at for item in fresh) + MAX_STALENESS_S
+                    max(item.store_answered_at for item in fresh)
+                    + self._max_staleness_s()
                 )
                 self._changed.wait(max(0.0, min(until, stale_at) - now))
 
@@ -191,7 +247,7 @@
         return max((after, *known))
 
     def _fresh_announcements(self) -> list[ReceivedAnnouncement]:
-        oldest = self._clock.monotonic() - MAX_STALENESS_S
+        oldest = self._clock.monotonic() - self._max_staleness_s()
         received = self._received_by_sender.values()
         return [item for item in received if item.store_answered_at > oldest]
 
@@ -206,9 +262,25 @@
         # The fleet service follows its table through this one, so it starts later.
         return self._kernel.find(ServiceName.FLEET, Fleet)
 
+    def _max_staleness_s(self) -> float:
+        return self._change_s * STALENESS_SHARE
+
+    def _differs(
+        self, before: ReceivedAnnouncement, after: ReceivedAnnouncement
+    ) -> bool:
+        """Return whether a table changed, or the publisher was stale in between."""
+        unheard_s = after.store_answered_at - before.store_answered_at
+        return unheard_s > self._max_staleness_s() or any(
+            _newest_change(after, table) != _newest_change(before, table)
+            for table in after.versions_by_table
+        )
+
     def _update_role(self) -> None:
         fleet = self._fleet()
-        chosen = fleet.me().name in publisher_names(fleet.members())
+        members, name = fleet.members(), fleet.me().name
+        # While only this entry is known, it leaves the store to the seeds.
+        waits_for_seeds = len(members) < 2 and self.seed_wait_s() > 0
+        chosen = not waits_for_seeds and name in publisher_names(members)
         if chosen != self._is_publisher:
             logger.info(
                 "publishing the store's tables"
@@ -223,6 +295,9 @@
         member = members.get(announcement.sender)
         if member is None or member == self._fleet().me():
             return
+        self._note(member, announcement)
+
+    def _note(self, member: FleetMember, announcement: Announcement) -> None:
         received = ReceivedAnnouncement(
             member,
             {item.table: item for item in announcement.tables},
@@ -231,7 +306,7 @@
         with self._changed:
             before = self._received_by_sender.get(member.name)
             self._received_by_sender[member.name] = received
-            if before is None or _differs(before, received):
+            if before is None or self._differs(before, received):
                 self._changed.notify_all()
 
     def _serve(self) -> None:
@@ -240,20 +315,23 @@
             self._announce_now.clear()
             self._drop_stale_announcements()
             store_age_s = self._clock.monotonic() - self._store_answered_at
-            if self._is_publisher and store_age_s < MAX_STALENESS_S:
+            if self._is_publisher and store_age_s < self._max_staleness_s():
                 self._announce(store_age_s)
 
     def _announce(self, store_age_s: float) -> None:
         fleet = self._fleet()
-        me = fleet.me()
-        with self._changed:
-            tables = tuple(item.versions() for item in self._mirror_by_table.values())
-        content = encode_announcement(Announcement(me.name, tables, store_age_s))
-        for member in self._receivers(me, fleet.members()):
+        content = encode_announcement(self._make_announcement(store_age_s))
+        for member in self._receivers(fleet.me(), fleet.members()):
             self._datagrams.send(
                 member.peer_address, DatagramKind.ANNOUNCEMENT, content
             )
 
+    def _make_announcement(self, store_age_s: float) -> Announcement:
+        with self._changed:
+            versions = [item.versions() for item in self._mirror_by_table.values()]
+        tables = tuple(item for item in versions if item.complete_to >= 0)
+        return Announcement(self._fleet().me().name, tables, store_age_s)
+
     def _receivers(
         self, me: FleetMember, members: tuple[FleetMember, ...]
     ) -> list[FleetMember]:
@@ -267,6 +345,38 @@
         part = (distant + distant)[start : start + DISTANT_RECEIVERS]
         return near + part
 
+    def _ask_seeds(self) -> None:
+        """Ask the seeds in turn until a publisher is known, and its tables with it."""
+        own = self._fleet().me()
+        order = rank(own.name, [_seed_member(item) for item in self._seeds])
+        pause = threading.Event()
+        for seed in itertools.cycle(order):
+            if self._stopped or not self.seed_wait_s():
+                break
+            try:
+                self._note(seed, self._peers.announcement(seed))
+                # Its announcements arrive once it knows this entry.
+                self._seeds_until = self._clock.monotonic() + SEED_WAIT_S
+                if self._hears_members():
+                    break
+            except PeerUnavailableError as error:
+                logger.info(
+                    "seed has no current tables; asking the next",
+                    peer=seed.peer_address,
+                    error=error.message,
+                )
+            pause.wait(SEED_RETRY_S)
+        self._seeds_until = float("-inf")
+        self._update_role()
+
+    def _hears_members(self) -> bool:
+        """Return whether another entry of the fleet announces the tables itself."""
+        names = {item.name for item in self._fleet().members()}
+        with self._changed:
+            return any(
+                item.member.name in names for item in self._fresh_announcements()
+            )
+
     def _drop_stale_announcements(self) -> None:
         with self._changed:
             self._received_by_sender = {
@@ -303,16 +413,12 @@
     return -1 if versions is None or versions.complete_to < 0 else versions.changed
 
 
-def _differs(before: ReceivedAnnouncement, after: ReceivedAnnouncement) -> bool:
-    """Return whether a table changed, or the publisher was stale in between."""
-    was_stale = after.store_answered_at - before.store_answered_at > MAX_STALENESS_S
-    return was_stale or any(
-        _newest_change(after, table) != _newest_change(before, table)
-        for table in after.versions_by_table
-    )
+def _seed_member(address: str) -> FleetMember:
+    """Return a member for a seed, of which only the address is known."""
+    return FleetMember(f"seed {address}", "", "", address, "")
 
 
-def make_mirrors(kernel: Kernel) -> Mirrors:
+def make_mirrors(kernel: Kernel, settings: FleetSettings) -> Mirrors:
     """Return the service with empty copies of the store's tables."""
     return PeerMirrors(
         kernel,
@@ -320,4 +426,7 @@
         kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.DATAGRAMS, Datagrams),
         kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
+        settings.bounds.change_ms / 1000,
+        settings.entry.peer_address,
+        settings.peers.seeds,
     )
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -1,7 +1,7 @@
 """Health checks of the backend servers of this entry's subset.
 
-A backend server whose home this entry is has a task with a connection of its own. The
-others are checked now and then, on connections that are closed after the check.
+A backend server whose home this entry is has a task. The others are checked now and
+then, by short tasks.
 """
 
 import threading
@@ -43,6 +43,8 @@
 CHECK_TIMEOUT_S = 0.5
 # Age up to which the result of another entry replaces an own health check.
 PEER_RESULT_FRESH_S = 0.7
+# Backend servers close connections that are idle for longer.
+KEPT_CONNECTION_INTERVAL_S = 9.0
 # Checks of other homes' backend servers that may run at once; each has a thread.
 MAX_CONCURRENT_CHECKS = 12
 
@@ -107,12 +109,9 @@
     def serve(self) -> None:
         """Check until stopped, and publish each result."""
         while not self._stopped.wait(self._pause_s()):
-            try:
-                measurement = self._checks.check(self.instance, self._connection)
-                if measurement is not None and not self._stopped.is_set():
-                    self._measurements.publish(measurement)
-            except Exception:
-                logger.exception("health check failed unexpectedly; checking again")
+            measurement = self._checks.check(self.instance, self._connection)
+            if measurement is not None and not self._stopped.is_set():
+                self._measurements.publish(measurement)
 
     def _pause_s(self) -> float:
         """Return the time until the next multiple of the interval.
@@ -166,6 +165,7 @@
     _probe_by_id: dict[str, HomeProbe] = field(factory=dict)
     _plan_by_id: Mapping[str, CheckPlan] = field(factory=dict)
     _checked_at_by_id: dict[str, float] = field(factory=dict)
+    _connection_by_id: dict[str, HealthConnection] = field(factory=dict)
     _running_ids: set[str] = field(factory=set)
     _lock: threading.Lock = field(factory=threading.Lock)
 
@@ -173,15 +173,19 @@
         """Start the tasks, and follow changes of the subset."""
         self._subsets.subscribe(self.refresh)
         self.refresh()
-        self._tasks.submit(TaskKind.CONTROL, self._serve)
+        self._tasks.supervise(TaskKind.CONTROL, self._serve)
 
     def stop(self) -> None:
         """End all tasks."""
         with self._lock:
             probes = tuple(self._probe_by_id.values())
             self._probe_by_id.clear()
+            connections = tuple(self._connection_by_id.values())
+            self._connection_by_id.clear()
         for probe in probes:
             probe.stop()
+        for connection in connections:
+            connection.close()
 
     def refresh(self) -> None:
         """Start and stop tasks to match the subset.
@@ -200,9 +204,20 @@
             for instance_id in home_ids - self._probe_by_id.keys():
                 if instance_id in instance_by_id:
                     self._start_probe(instance_by_id[instance_id])
+            before = self._plan_by_id
             self._plan_by_id = self._make_plans(instance_by_id, home_ids)
-            for instance_id in self._checked_at_by_id.keys() - self._plan_by_id.keys():
-                del self._checked_at_by_id[instance_id]
+            self._forget_changed(before)
+
+    def _forget_changed(self, before: Mapping[str, CheckPlan]) -> None:
+        """Drop what is known of servers that left the plans or started again."""
+        for instance_id, plan in before.items():
+            after = self._plan_by_id.get(instance_id)
+            if after is not None and not _moved(plan.instance, after.instance):
+                continue
+            self._checked_at_by_id.pop(instance_id, None)
+            connection = self._connection_by_id.pop(instance_id, None)
+            if connection is not None:
+                connection.close()
 
     def _start_probe(self, instance: Instance) -> None:
         probe = HomeProbe(
@@ -214,7 +229,7 @@
             self._measurements,
         )
         try:
-            self._tasks.submit(TaskKind.MEASURE, probe.serve)
+            self._tasks.supervise(TaskKind.MEASURE, probe.serve)
         except TaskPoolFullError as error:
             logger.error(
                 "backend server not checked by its home",
@@ -251,16 +266,13 @@
     def _serve(self) -> None:
         subscription = self._timer.every(SAME_ZONE_INTERVAL_S)
         while subscription.wait():
-            try:
-                self.start_due_checks()
-            except Exception:
-                logger.exception("health checks failed unexpectedly; trying again")
+            self.start_due_checks()
 
     def start_due_checks(self) -> None:
         """Start the checks that are due, each in a task of its own."""
         now = self._clock.monotonic()
         for plan in tuple(self._plan_by_id.values()):
-            if self._is_due(plan, now) and not self._start_check(plan.instance, now):
+            if self._is_due(plan, now) and not self._start_check(plan, now):
                 return
 
     def _is_due(self, plan: CheckPlan, now: float) -> bool:
@@ -277,31 +289,43 @@
             return False
         return self._conditions.needs_check(instance_id, PEER_RESULT_FRESH_S)
 
-    def _start_check(self, instance: Instance, now: float) -> bool:
+    def _start_check(self, plan: CheckPlan, now: float) -> bool:
         """Check a backend server in a task; return False if too many checks run."""
+        instance_id = plan.instance.id
         with self._lock:
-            if instance.id in self._running_ids:
+            if instance_id in self._running_ids:
                 return True
             if len(self._running_ids) >= MAX_CONCURRENT_CHECKS:
                 return False
-            self._running_ids.add(instance.id)
-            self._checked_at_by_id[instance.id] = now
+            self._running_ids.add(instance_id)
+            self._checked_at_by_id[instance_id] = now
         try:
-            self._tasks.submit(TaskKind.MEASURE, self._check_once, instance)
+            self._tasks.submit(TaskKind.MEASURE, self._check_once, plan)
         except TaskPoolFullError:
             with self._lock:
-                self._running_ids.discard(instance.id)
+                self._running_ids.discard(instance_id)
             return False
         return True
 
-    def _check_once(self, instance: Instance) -> None:
-        connection = self._instances.health_connection(instance)
+    def _check_once(self, plan: CheckPlan) -> None:
+        instance = plan.instance
+        with self._lock:
+            connection = self._connection_by_id.pop(instance.id, None)
+        if connection is None:
+            connection = self._instances.health_connection(instance)
+        kept = False
         try:
             self._checks.check(instance, connection)
+            kept = plan.interval_s <= KEPT_CONNECTION_INTERVAL_S
         finally:
-            connection.close()
             with self._lock:
                 self._running_ids.discard(instance.id)
+                current = self._plan_by_id.get(instance.id)
+                if kept and current and not _moved(instance, current.instance):
+                    self._connection_by_id[instance.id] = connection
+                    connection = None
+            if connection is not None:
+                connection.close()
 
 
 def _moved(before: Instance, after: Instance) -> bool:
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -120,7 +120,8 @@
     datagrams = make_datagrams(kernel, settings.entry.peer_address)
     kernel.register(ServiceName.DATAGRAMS, datagrams, (tasks,))
     dependencies = (tasks, ServiceName.DATAGRAMS)
-    kernel.register(ServiceName.MIRRORS, make_mirrors(kernel), dependencies)
+    mirrors = make_mirrors(kernel, settings)
+    kernel.register(ServiceName.MIRRORS, mirrors, dependencies)
     kernel.register(ServiceName.INSTANCES, make_instances(kernel), (timer,))
 
 
--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -52,6 +52,20 @@
     address: str
 
 
+@frozen
+class PeerSettings:
+    """Other entries that are known before any table was read.
+
+    Attributes
+    ----------
+    seeds : tuple of str
+        Peer addresses ``IP:port`` of some entries, which may be stale or those of this
+        entry. An entry that starts reads the store's tables from them.
+    """
+
+    seeds: tuple[str, ...] = ()
+
+
 @frozen
 class BoundSettings:
     """Limits that operators and clients rely on.
@@ -71,6 +85,9 @@
     probes_per_s : float
         Limit of the health checks of a backend server per second, by all entries
         together.
+    change_ms : float
+        Time within which a change of the configuration must be in force, in
+        milliseconds.
     """
 
     grace_s: float = field(default=6.0, validator=[gt(0), le(600)])
@@ -79,6 +96,7 @@
     retry_slack: float = field(default=0.0, validator=[ge(0)])
     directory_age_max_s: float = field(default=5.0, validator=[gt(0), le(3600)])
     probes_per_s: float = field(default=60.0, validator=[gt(0), le(1000)])
+    change_ms: float = field(default=2000.0, validator=[ge(500), le(60_000)])
 
 
 @frozen
@@ -102,6 +120,7 @@
     store: StoreSettings
     bounds: BoundSettings = Factory(BoundSettings)
     log: FleetLogSettings = Factory(FleetLogSettings)
+    peers: PeerSettings = Factory(PeerSettings)
 
 
 def read_fleet_settings(path: Path) -> FleetSettings:
@@ -123,5 +142,7 @@
         "entry.metrics_address": entry.metrics_address,
         "store.address": settings.store.address,
     }
+    for number, seed in enumerate(settings.peers.seeds):
+        address_by_key[f"peers.seeds[{number}]"] = seed
     check_addresses(address_by_key, path)
     return settings
--- a/dotterelpier/frontends/fleet_peers.py
+++ b/dotterelpier/frontends/fleet_peers.py
@@ -6,6 +6,7 @@
 from google.protobuf.message import DecodeError
 from loguru import logger
 
+from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.frontends.http_server import (
     Environ,
     HttpServer,
@@ -17,11 +18,13 @@
 from dotterelpier.protocols import ServiceName, Tasks
 from dotterelpier.protocols.fleet import Fleet, Mirrors
 from dotterelpier.wire.fleet import (
+    ANNOUNCEMENT_PATH,
     CHANGES_PATH,
     MESSAGE_TYPE,
     PING_PATH,
     decode_changes_request,
     decode_ping_request,
+    encode_announcement,
     encode_changes,
     encode_ping_reply,
 )
@@ -30,6 +33,7 @@
 # publisher for changes at the same moment.
 THREADS = 8
 MAX_BODY_BYTES = 4096
+STATUS_UNAVAILABLE = 503
 MAX_HEADER_BYTES = 16 << 10
 
 
@@ -53,12 +57,15 @@
         handler_by_path: Mapping[str, Callable[[bytes], bytes]] = {
             PING_PATH: self._ping,
             CHANGES_PATH: self._changes,
+            ANNOUNCEMENT_PATH: self._announcement,
         }
         handler = handler_by_path.get(environ["PATH_INFO"])
         if handler is None:
             return 404, b""
         try:
             return 200, handler(environ["wsgi.input"].read())
+        except PeerUnavailableError:
+            return STATUS_UNAVAILABLE, b""
         except (DecodeError, ValueError) as error:
             logger.warning(
                 "message of an entry is malformed; refusing it",
@@ -72,6 +79,9 @@
         decode_ping_request(content)
         return encode_ping_reply(self._fleet.me())
 
+    def _announcement(self, content: bytes) -> bytes:
+        return encode_announcement(self._mirrors.announcement())
+
     def _changes(self, content: bytes) -> bytes:
         table, after = decode_changes_request(content)
         return encode_changes(self._mirrors.changes(table, after))
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
-from dotterelpier.model.fleet import FleetMember, StoreReply
+from dotterelpier.model.fleet import Announcement, FleetMember, StoreReply
 from dotterelpier.model.instance import (
     Instance,
     LoadFigures,
@@ -125,6 +125,16 @@
         """
         ...
 
+    def announcement(self, member: FleetMember) -> Announcement:
+        """Return the versions of the tables that an entry holds.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If it does not answer, or its copies may be outdated.
+        """
+        ...
+
     def changes(self, member: FleetMember, table: str, after: int) -> StoreReply:
         """Return the changes to a store table that another entry holds.
 
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dotterelpier.model.fleet import StoreReply
+from dotterelpier.model.fleet import Announcement, StoreReply
 from dotterelpier.model.instance import (
     Instance,
 )
@@ -132,6 +132,24 @@
         """Return whether this entry watches the store for the others of its zone."""
         ...
 
+    def store_probe_wait_s(self) -> float:
+        """Return how long a watch of the store probe may last, in seconds."""
+        ...
+
+    def seed_wait_s(self) -> float:
+        """Return for how long a first read should wait for a seed, in seconds."""
+        ...
+
+    def announcement(self) -> Announcement:
+        """Return the versions of the copies held here, publisher or not.
+
+        Raises
+        ------
+        PeerUnavailableError
+            If the copies may be outdated.
+        """
+        ...
+
     def has_other_publisher(self) -> bool:
         """Return whether a fresh announcement of another entry is known."""
         ...
--- a/dotterelpier/protocols/foundations.py
+++ b/dotterelpier/protocols/foundations.py
@@ -75,6 +75,15 @@
         """
         ...
 
+    def supervise(
+        self, kind: TaskKind, function: Callable[..., Any], *args: Any
+    ) -> Future[Any]:
+        """Run a function like ``submit``, again after each unexpected error.
+
+        For tasks of which the entry depends; the error is logged.
+        """
+        ...
+
 
 class Table(Protocol):
     """Transactional table of the platform.
--- a/dotterelpier/services/audit.py
+++ b/dotterelpier/services/audit.py
@@ -41,7 +41,7 @@
 
     def start(self) -> None:
         """Start the task that writes the queued entries."""
-        self._tasks.submit(TaskKind.CONTROL, self._write_entries)
+        self._tasks.supervise(TaskKind.CONTROL, self._write_entries)
 
     def stop(self) -> None:
         """Let the task end after it has tried to write the queued entries."""
--- a/dotterelpier/services/claim_sweeper.py
+++ b/dotterelpier/services/claim_sweeper.py
@@ -44,7 +44,7 @@
     def start(self) -> None:
         """Start the task that sweeps."""
         self._subscription = self._timer.every(SWEEP_INTERVAL_S)
-        self._tasks.submit(TaskKind.CONTROL, self._sweep, self._subscription)
+        self._tasks.supervise(TaskKind.CONTROL, self._sweep, self._subscription)
 
     def stop(self) -> None:
         """End the task once the shard being swept is done."""
--- a/dotterelpier/services/claims.py
+++ b/dotterelpier/services/claims.py
@@ -84,7 +84,7 @@
         """Start the task that commits writes and the one that corrects rows."""
         self._tasks.submit(TaskKind.CONTROL, self._commits.serve)
         self._subscription = self._timer.every(CORRECTION_INTERVAL_S)
-        self._tasks.submit(TaskKind.CONTROL, self._correct, self._subscription)
+        self._tasks.supervise(TaskKind.CONTROL, self._correct, self._subscription)
 
     def stop(self) -> None:
         """End both tasks; queued writes are still committed, corrections are lost."""
--- a/dotterelpier/services/evidence.py
+++ b/dotterelpier/services/evidence.py
@@ -92,7 +92,7 @@
         self._homes.subscribe(self._on_home)
         self._manifest.subscribe(self._on_revision)
         self._subscription = self._timer.every(VM_POLL_INTERVAL_S)
-        self._tasks.submit(TaskKind.CONTROL, self._watch_vms, self._subscription)
+        self._tasks.supervise(TaskKind.CONTROL, self._watch_vms, self._subscription)
 
     def stop(self) -> None:
         """End the tasks that probe servers and poll the list of VMs."""
@@ -181,7 +181,7 @@
             measured = self._make_measured_server(revision, backend_id)
             self._measured_by_id[backend_id] = measured
         try:
-            self._tasks.submit(TaskKind.MEASURE, self._probe_when_needed, measured)
+            self._tasks.supervise(TaskKind.MEASURE, self._probe_when_needed, measured)
         except TaskPoolFullError as error:
             logger.error(
                 "no thread to probe backend server; no probes until its home changes",
--- a/dotterelpier/services/homes.py
+++ b/dotterelpier/services/homes.py
@@ -87,7 +87,7 @@
         """Start the task that polls the assignment row."""
         self._subscription = self._timer.every(self._poll_s)
         self._manifest.subscribe(lambda _: self._wake())
-        self._tasks.submit(TaskKind.CONTROL, self._follow, self._subscription)
+        self._tasks.supervise(TaskKind.CONTROL, self._follow, self._subscription)
 
     def stop(self) -> None:
         """Stop polling; the assignment in force stays."""
--- a/dotterelpier/services/manifest.py
+++ b/dotterelpier/services/manifest.py
@@ -70,7 +70,7 @@
         """Start the task that polls for new revisions."""
         self._subscription = self._timer.every(self._poll_s)
         self._membership.subscribe(self._on_heartbeat)
-        self._tasks.submit(TaskKind.CONTROL, self._follow, self._subscription)
+        self._tasks.supervise(TaskKind.CONTROL, self._follow, self._subscription)
 
     def stop(self) -> None:
         """Stop polling; the revision in force stays."""
--- a/dotterelpier/services/membership.py
+++ b/dotterelpier/services/membership.py
@@ -72,8 +72,8 @@
         """Start the tasks that renew the lease and scan the lease rows."""
         renewals = self._subscribe(self._lease.renew_s)
         scans = self._subscribe(self._poll_s)
-        self._tasks.submit(TaskKind.CONTROL, self._keep_lease_alive, renewals)
-        self._tasks.submit(TaskKind.CONTROL, self._watch_members, scans)
+        self._tasks.supervise(TaskKind.CONTROL, self._keep_lease_alive, renewals)
+        self._tasks.supervise(TaskKind.CONTROL, self._watch_members, scans)
 
     def stop(self) -> None:
         """Stop all tasks and delete the lease row; a failure is only logged."""
--- a/dotterelpier/services/tasks.py
+++ b/dotterelpier/services/tasks.py
@@ -13,6 +13,8 @@
 from dotterelpier.settings import LimitSettings
 
 CONTROL_THREADS = 16
+# Pause before a task that failed unexpectedly is started again.
+RESTART_PAUSE_S = 0.5
 
 
 @define
@@ -27,6 +29,7 @@
     _executor_by_kind: dict[TaskKind, ThreadPoolExecutor] = field(factory=dict)
     _running_by_kind: dict[TaskKind, int] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
+    _stopped: threading.Event = field(factory=threading.Event)
 
     def submit(
         self, kind: TaskKind, function: Callable[..., Any], *args: Any
@@ -49,8 +52,23 @@
             executor = self._executor(kind)
         return executor.submit(self._run, kind, function, *args)
 
+    def supervise(
+        self, kind: TaskKind, function: Callable[..., Any], *args: Any
+    ) -> Future[Any]:
+        """Run a function like ``submit``, again after each unexpected error.
+
+        The task ends once the function returns.
+
+        Raises
+        ------
+        TaskPoolFullError
+            If all threads of this kind are in use.
+        """
+        return self.submit(kind, self._run_until_return, function, *args)
+
     def stop(self) -> None:
         """Start no more tasks; running ones end when their services stop them."""
+        self._stopped.set()
         with self._lock:
             executors = tuple(self._executor_by_kind.values())
         for executor in executors:
@@ -66,6 +84,19 @@
             )
         return self._executor_by_kind[kind]
 
+    def _run_until_return(self, function: Callable[..., Any], *args: Any) -> None:
+        while True:
+            try:
+                function(*args)
+                return
+            except Exception:
+                logger.exception(
+                    "task failed unexpectedly; starting it again",
+                    task=getattr(function, "__qualname__", repr(function)),
+                )
+            if self._stopped.wait(RESTART_PAUSE_S):
+                return
+
     def _run(self, kind: TaskKind, function: Callable[..., Any], *args: Any) -> Any:
         try:
             return function(*args)
--- a/dotterelpier/wire/fleet.py
+++ b/dotterelpier/wire/fleet.py
@@ -1,7 +1,10 @@
 """Encodes and decodes the messages between fleet entries."""
 
+import zlib
 from collections.abc import Iterable
 
+from google.protobuf.message import DecodeError
+
 from dotterelpier.model.fleet import (
     Announcement,
     FleetMember,
@@ -15,6 +18,11 @@
 MESSAGE_TYPE = "application/x-protobuf"
 PING_PATH = "/ping"
 CHANGES_PATH = "/changes"
+ANNOUNCEMENT_PATH = "/announcement"
+# Rows of a table compress to about a fifth; small machines have slow links.
+MIN_DEFLATED_BYTES = 2048
+DEFLATE_LEVEL = 1
+MAX_INFLATED_BYTES = 64 << 20
 
 MS_PER_S = 1000
 PERCENT = 100
@@ -147,7 +155,11 @@
     message = fleet_pb2.ChangesReply(
         rows=rows, version=reply.version, whole=reply.whole
     )
-    return message.SerializeToString()
+    content = message.SerializeToString()
+    if len(content) < MIN_DEFLATED_BYTES:
+        return content
+    deflated = zlib.compress(content, DEFLATE_LEVEL)
+    return fleet_pb2.ChangesReply(deflated=deflated).SerializeToString()
 
 
 def decode_changes(content: bytes) -> StoreReply:
@@ -159,6 +171,8 @@
         If the content is malformed.
     """
     message = fleet_pb2.ChangesReply.FromString(content)
+    if message.deflated:
+        message = fleet_pb2.ChangesReply.FromString(_inflate(message.deflated))
     rows = tuple(
         StoreRow(row.key, row.value if row.HasField("value") else None, row.version)
         for row in message.rows
@@ -166,6 +180,17 @@
     return StoreReply(rows, message.version, message.whole)
 
 
+def _inflate(content: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        inflated = decompressor.decompress(content, MAX_INFLATED_BYTES)
+    except zlib.error as error:
+        raise DecodeError(str(error)) from None
+    if not decompressor.eof:
+        raise DecodeError("compressed reply is truncated or too large")
+    return inflated
+
+
 def _encode_measurement(item: Measurement, now: float) -> fleet_pb2.Measurement:
     message = fleet_pb2.Measurement(
         instance_id=item.instance_id,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -115,6 +115,8 @@
         self.tasks.append((kind, function, args))
         return Future()
 
+    supervise = submit
+
     def step(self) -> None:
         """Run each task in this thread until its subscription has no tick left.
 
@@ -279,6 +281,14 @@
         """Return True: the only entry reads the store itself."""
         return True
 
+    def store_probe_wait_s(self) -> float:
+        """Return a short wait."""
+        return 0.7
+
+    def seed_wait_s(self) -> float:
+        """Return 0: the entry has no seeds."""
+        return 0.0
+
     def has_other_publisher(self) -> bool:
         """Return False: no other entry announces the tables."""
         return False
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -13,6 +13,7 @@
     BoundSettings,
     FleetEntrySettings,
     FleetSettings,
+    PeerSettings,
     StoreSettings,
 )
 from dotterelpier.kernel import Kernel
@@ -231,17 +232,24 @@
     return _start_entry("entry-1", address, state, BoundSettings(**bounds))
 
 
-def start_another_entry(system: FleetSystem, name: str) -> FleetSystem:
+def start_another_entry(
+    system: FleetSystem, name: str, seeds: tuple[str, ...] = ()
+) -> FleetSystem:
     """Start an entry of the same fleet and zone."""
     bounds = system.settings.bounds
-    return _start_entry(name, system.store_address, system.store, bounds)
+    return _start_entry(name, system.store_address, system.store, bounds, seeds)
 
 
 def _start_entry(
-    name: str, store_address: str, state: RowStoreState, bounds: BoundSettings
+    name: str,
+    store_address: str,
+    state: RowStoreState,
+    bounds: BoundSettings,
+    seeds: tuple[str, ...] = (),
 ) -> FleetSystem:
     entry = FleetEntrySettings(name, ZONE, *(free_address() for _ in range(5)))
-    settings = FleetSettings(entry, StoreSettings(store_address), bounds)
+    store = StoreSettings(store_address)
+    settings = FleetSettings(entry, store, bounds, peers=PeerSettings(seeds))
     kernel = make_fleet_entry(settings)
     kernel.start()
     return FleetSystem(state, store_address, settings, kernel)
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -63,7 +63,10 @@
     started: list[Any] = field(factory=list)
 
     def submit(self, kind: Any, function: Any, *args: Any) -> None:
-        self.started.append(args[0].id if args else "home task")
+        self.started.append(args[0].instance.id)
+
+    def supervise(self, kind: Any, function: Any, *args: Any) -> None:
+        self.started.append("home task")
 
 
 class HealthConnections:
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -16,10 +16,16 @@
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet.mirror import TableMirror
 from dotterelpier.fleet.mirrors import (
-    MAX_STALENESS_S,
+    SEED_WAIT_S,
+    STALENESS_SHARE,
     make_mirrors,
     publisher_names,
 )
+from dotterelpier.fleet_settings import (
+    FleetEntrySettings,
+    FleetSettings,
+    StoreSettings,
+)
 from dotterelpier.kernel import make_kernel
 from dotterelpier.model.fleet import (
     Announcement,
@@ -29,7 +35,7 @@
     TableVersions,
 )
 from dotterelpier.protocols import ServiceName
-from dotterelpier.protocols.fleet import DatagramKind, Mirrors, Routes
+from dotterelpier.protocols.fleet import DatagramKind, Mirrors, Routes, StoreLink
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
@@ -37,6 +43,7 @@
 from tests.fleet_system import (
     ScriptedInstance,
     answer,
+    free_address,
     route,
     start_another_entry,
     start_fleet_system,
@@ -44,6 +51,11 @@
 from tests.utils import wait_until
 
 KEYS = st.sampled_from("abcd")
+SETTINGS = FleetSettings(
+    FleetEntrySettings("e-9", "zone-a", "x:1", "x:2", "x:3", "x:4", "x:5"),
+    StoreSettings("x:6"),
+)
+MAX_STALENESS_S = SETTINGS.bounds.change_ms / 1000 * STALENESS_SHARE
 
 
 class MirroredTable(RuleBasedStateMachine):
@@ -192,7 +204,7 @@
         self.kernel.register(ServiceName.DATAGRAMS, self.datagrams)
         self.kernel.register(ServiceName.FLEET_PEERS, self.peers)
         self.kernel.register(ServiceName.FLEET, self.fleet)
-        self.mirrors = make_mirrors(self.kernel)
+        self.mirrors = make_mirrors(self.kernel, SETTINGS)
         self.mirrors.start()
 
     def announce(
@@ -285,6 +297,72 @@
     wait_until(lambda: harness.datagrams.sent, "the tables are announced")
 
 
+def test_current_copies_are_announced_on_request(harness) -> None:
+    with pytest.raises(PeerUnavailableError, match="outdated"):
+        harness.mirrors.announcement()
+    harness.announce(9, StoreRow("k", b"1", 7))
+    # The change is announced, but not fetched yet.
+    with pytest.raises(PeerUnavailableError, match="outdated"):
+        harness.mirrors.announcement()
+    harness.mirrors.watch("t", -1, 1.0)
+    announced = harness.mirrors.announcement()
+    assert announced.tables == (TableVersions("t", 7, 9),)
+    assert announced.store_age_s < MAX_STALENESS_S
+    wait_until(
+        lambda: not harness.mirrors.has_other_publisher(), "the announcement is stale"
+    )
+    with pytest.raises(PeerUnavailableError, match="outdated"):
+        harness.mirrors.announcement()
+
+
+def store_reads(system) -> int:
+    """Return how often the store was asked for a whole table."""
+    return sum(call.startswith("/rows-get") for call in system.store.calls)
+
+
+def test_entry_that_starts_reads_the_tables_from_a_seed() -> None:
+    first = start_fleet_system()
+    instance = ScriptedInstance("i-1", "shop", lambda item: [answer(item, b"sold")])
+    first.register(instance)
+    first.apply(1, {"shop": route("/shop/", "shop")}, "shop")
+    first.wait_until_served("/shop/x")
+    before = store_reads(first)
+    seed = first.settings.entry.peer_address
+    second = start_another_entry(first, "entry-2", seeds=(seed,))
+    second.wait_until_served("/shop/x")
+    assert store_reads(first) == before
+    for system in (first, second):
+        system.stop()
+
+
+def test_entry_whose_seeds_are_down_reads_the_store() -> None:
+    first = start_fleet_system()
+    first.apply(1, {"shop": route("/shop/", "shop")}, "shop")
+    second = start_another_entry(first, "entry-2", seeds=(free_address(),))
+    wait_until(lambda: _version(second) == 1, "the configuration is read")
+    for system in (first, second):
+        system.stop()
+
+
+def test_seed_without_the_store_is_not_believed() -> None:
+    """A seed that lost the store must not bring back what was withdrawn since."""
+    first = start_fleet_system()
+    first.apply(1, {"shop": route("/shop/", "shop")}, "shop")
+    wait_until(lambda: _version(first) == 1, "the configuration is read")
+    link = first.kernel.find(ServiceName.STORE_LINK, StoreLink)
+    first.store.outage = True
+    wait_until(lambda: not link.is_reachable(), "the outage is detected")
+    time.sleep(MAX_STALENESS_S)
+    seed = first.settings.entry.peer_address
+    second = start_another_entry(first, "entry-2", seeds=(seed,))
+    time.sleep(SEED_WAIT_S + 0.5)
+    assert _version(second) == 0
+    first.store.outage = False
+    wait_until(lambda: _version(second) == 1, "the configuration is read")
+    for system in (first, second):
+        system.stop()
+
+
 @pytest.fixture
 def fleet():
     first = start_fleet_system()
