Directory of a large fleet names entries of all zones

Cause: the proportional choice was listed zone by zone and cut after 64 addresses. Above 64 entries, 62 of the 64 named at a fleet of 5 x 62 were of one zone, whatever the capacity of the others, and 60 entries had no clients at all (250 of 310 were named to clients of any zone).

The proportions are now scaled to the number of addresses. Each entry ranks first for the clients of one zone, so that nearly all have clients; the ranking is kept until the members change. Tests in test_fleet_decisions.py failed first.

--- a/dotterelpier/fleet/directory.py
+++ b/dotterelpier/fleet/directory.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Mapping
 
-from attrs import define
+from attrs import define, field, frozen
 
-from dotterelpier.fleet.ranking import rank
+from dotterelpier.fleet.ranking import weight
 from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember
@@ -21,6 +21,16 @@
 # period of a planned stop that the entry leaves.
 ANSWER_TTL_S = 1.5
 MAX_ADDRESSES = 64
+# Client zones whose rankings are kept; clients may name any zone.
+MAX_ZONES = 32
+
+
+@frozen(eq=False)
+class _Ranking:
+    """Members of the fleet, and the order in which clients of a zone use them."""
+
+    members: tuple[FleetMember, ...]
+    ranked: tuple[FleetMember, ...]
 
 
 @define
@@ -36,6 +46,8 @@
     _conditions: Conditions
     _stop: PlannedStop
     _bounds: BoundSettings
+    # Ranking a large fleet takes milliseconds, so it is kept until the members change.
+    _ranking_by_client_zone: dict[str, _Ranking] = field(factory=dict)
 
     def addresses(self, host: str, zone: str) -> tuple[str, ...]:
         """Return the ``IP:port`` of entries for a client, at most ``MAX_ADDRESSES``.
@@ -48,23 +60,33 @@
         host : str
             Host whose routes decide which services count.
         zone : str
-            Zone of the client. It is the key by which the entries are ranked, so
-            clients of different zones get different entries.
+            Zone of the client. Where not all entries can be named, clients of
+            different zones get different ones.
         """
         me = self._fleet.me()
-        members = [
+        ranked = [
             member
-            for member in self._fleet.members()
+            for member in self._ranked(zone)
             if member.name != me.name or self._stop.takes_requests()
         ]
         capacity = self._conditions.capacity_by_zone(self._services(host))
-        chosen = _proportional(rank(zone, members), capacity) or members
-        return tuple(member.caller_address for member in chosen[:MAX_ADDRESSES])
+        chosen = _proportional(ranked, capacity) or ranked[:MAX_ADDRESSES]
+        return tuple(member.caller_address for member in chosen)
 
     def answer_ttl_s(self) -> float:
         """Return how long clients may cache an answer, in seconds."""
         return min(ANSWER_TTL_S, self._bounds.directory_age_max_s)
 
+    def _ranked(self, client_zone: str) -> tuple[FleetMember, ...]:
+        members = self._fleet.members()
+        ranking = self._ranking_by_client_zone.get(client_zone)
+        if ranking is None or ranking.members is not members:
+            ranking = _Ranking(members, _rank_for_clients(client_zone, members))
+            if len(self._ranking_by_client_zone) >= MAX_ZONES:
+                self._ranking_by_client_zone.clear()
+            self._ranking_by_client_zone[client_zone] = ranking
+        return ranking.ranked
+
     def _services(self, host: str) -> frozenset[str]:
         """Return the services of a host, or all services if it has no route."""
         table = self._routes.table()
@@ -75,10 +97,27 @@
         return frozenset(services) or frozenset(table.config_by_service)
 
 
+def _rank_for_clients(
+    client_zone: str, members: tuple[FleetMember, ...]
+) -> tuple[FleetMember, ...]:
+    """Return members in the order in which clients of a zone should use them.
+
+    Each member comes first for the clients of one zone, so that all members together
+    serve the clients of all zones. A member that leaves changes no other's position.
+    """
+    zones = sorted({member.zone for member in members})
+
+    def key(member: FleetMember) -> tuple[bool, bytes]:
+        preferred = max(zones, key=lambda zone: weight(zone, member.name))
+        return preferred == client_zone, weight(client_zone, member.name)
+
+    return tuple(sorted(members, key=key, reverse=True))
+
+
 def _proportional(
     ranked: list[FleetMember], capacity: Mapping[str, float]
 ) -> list[FleetMember]:
-    """Return members of each zone in proportion to its capacity, in ranked order.
+    """Return at most ``MAX_ADDRESSES`` members, of each zone in proportion to capacity.
 
     Zones without capacity are left out; every other zone keeps at least one member.
     """
@@ -91,13 +130,14 @@
     if not eligible:
         return []
     members_per_slot = min(
-        len(members) / capacity[zone] for zone, members in eligible.items()
+        MAX_ADDRESSES / sum(capacity[zone] for zone in eligible),
+        *(len(members) / capacity[zone] for zone, members in eligible.items()),
     )
     chosen = []
     for zone, members in eligible.items():
         count = max(1, round(members_per_slot * capacity[zone]))
         chosen.extend(members[:count])
-    return chosen
+    return chosen[:MAX_ADDRESSES]
 
 
 def make_entry_directory(kernel: Kernel, bounds: BoundSettings) -> EntryDirectory:
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -16,7 +16,7 @@
 
 from dotterelpier.fleet.condition import QUARANTINE_FIRST_S, Condition
 from dotterelpier.fleet.conditions import SharedConditions
-from dotterelpier.fleet.directory import CapacityDirectory
+from dotterelpier.fleet.directory import MAX_ADDRESSES, CapacityDirectory
 from dotterelpier.fleet.ranking import first, rank
 from dotterelpier.fleet.retry_budget import SharedRetryBudget
 from dotterelpier.fleet.splitting import WeightedSplit
@@ -287,7 +287,7 @@
     assert first("i-1", ()) is None
 
 
-def directory(capacity, *members: FleetMember):
+def directory(capacity, *members: FleetMember, client_zone: str = "a"):
     class Capacities:
         def capacity_by_zone(self, services):
             return capacity
@@ -300,7 +300,7 @@
     entry_directory = CapacityDirectory(
         fleet, Routes(), Capacities(), Taking(), BoundSettings()
     )
-    return entry_directory.addresses("h", "a")
+    return entry_directory.addresses("h", client_zone)
 
 
 def test_directory_returns_entries_by_zone_capacity() -> None:
@@ -317,6 +317,40 @@
     assert len(directory({"z": 4}, member("a-1"))) == 1
 
 
+def test_directory_of_a_large_fleet_keeps_the_proportions_of_the_zones() -> None:
+    members = [
+        member(f"{zone}-{number}", zone) for zone in "abcde" for number in range(62)
+    ]
+    capacity = {"a": 100, "b": 100, "c": 100, "d": 50, "e": 50}
+    for client_zone in "abcde":
+        named = directory(capacity, *members, client_zone=client_zone)
+        counts = [sum(item[0] == zone for item in named) for zone in "abcde"]
+        assert len(named) == len(set(named)) == MAX_ADDRESSES
+        assert counts == [16, 16, 16, 8, 8]
+
+
+def test_directory_of_a_large_fleet_leaves_few_entries_without_clients() -> None:
+    members = [
+        member(f"{zone}-{number}", zone) for zone in "abcde" for number in range(62)
+    ]
+    capacity = dict.fromkeys("abcde", 100)
+    named = [
+        directory(capacity, *members, client_zone=client_zone)
+        for client_zone in "abcde"
+    ]
+    assert len({address for addresses in named for address in addresses}) > 270
+
+
+def test_entry_that_leaves_changes_few_answers_of_the_directory() -> None:
+    members = [
+        member(f"{zone}-{number}", zone) for zone in "abcde" for number in range(62)
+    ]
+    capacity = dict.fromkeys("abcde", 100)
+    before = set(directory(capacity, *members))
+    after = set(directory(capacity, *members[:-1]))
+    assert len(before - after) <= 2
+
+
 @pytest.mark.parametrize("entries", [1, 5, 15])
 def test_split_keeps_its_weights_over_all_entries(entries) -> None:
     route = evolve(ROUTE, shares=(Share("x", 90.0), Share("y", 10.0)))
