Entries that restart ask each seed once, and read the store at once without one

A restarting entry asks each seed once, within 0.25 s; only the first start of the whole fleet (setting entry.first_start, from the platform's bootstrap) waits for up to 1.5 s as before. A publisher without a table reads it from another one, too. After lost history the store is asked, not another publisher that may know no newer version: the test of it did not end without this.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -66,7 +66,7 @@
     _tasks: Tasks
     _cursor: int | None = None
     _store_backoff_until: float = float("-inf")
-    # Whether the next call goes to the store because no other entry sent changes.
+    # Whether the next call goes to the store, as no other entry can tell what changed.
     _read_store_next: bool = False
     _stopped: threading.Event = field(factory=threading.Event)
 
@@ -91,7 +91,7 @@
                     table=self.table,
                     after=self._cursor,
                 )
-                self._cursor = None
+                self._cursor, self._read_store_next = None, True
             except PeerUnavailableError as error:
                 self._read_store_next = True
                 logger.info(
@@ -142,12 +142,12 @@
         """Return whether to read from another entry instead of the store."""
         if self._read_store_next:
             return False
+        if self._cursor is None:
+            return self._mirrors.wait_for_seed()
         if self._mirrors.is_publisher():
             backing_off = self._clock.monotonic() < self._store_backoff_until
             return backing_off and self._mirrors.has_other_publisher()
-        wait_s = self._mirrors.seed_wait_s()
-        if self._cursor is not None:
-            wait_s = max(wait_s, ANNOUNCEMENT_WAIT_S)
+        wait_s = max(ANNOUNCEMENT_WAIT_S, self._mirrors.seed_wait_s())
         return self._mirrors.wait_for_other_publisher(wait_s)
 
     def _back_off(self, error: PlatformError) -> None:
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -5,7 +5,6 @@
 it. An entry that receives no announcements watches the store itself.
 """
 
-import itertools
 import threading
 
 from attrs import define, field, frozen
@@ -42,8 +41,10 @@
 # within it plus the timeout margin of a watch; a watch that starts during an outage
 # ends within it after the recovery.
 STORE_PROBE_WAIT_SHARE = 0.35
-# How long an entry that starts asks the seeds before it reads the store itself.
+# How long an entry asks the seeds before it reads the store itself, when the fleet
+# starts for the first time, and later, when clients are already waiting for it.
 SEED_WAIT_S = 1.5
+RESTART_SEED_WAIT_S = 0.25
 SEED_RETRY_S = 0.2
 # Entries of other zones have a publisher of their own, so in large fleets each hears of
 # this one by every few announcements.
@@ -73,6 +74,7 @@
     _change_s: float
     _own_address: str
     _seeds: tuple[str, ...]
+    _first_start: bool
     _mirror_by_table: dict[str, TableMirror] = field(factory=dict)
     _received_by_sender: dict[str, ReceivedAnnouncement] = field(factory=dict)
     _store_answered_at: float = float("-inf")
@@ -88,7 +90,8 @@
         """Listen for announcements, and start the task that sends them."""
         self._datagrams.subscribe(DatagramKind.ANNOUNCEMENT, self._receive)
         if self._seeds and self._own_address not in self._seeds:
-            self._seeds_until = self._clock.monotonic() + SEED_WAIT_S
+            wait_s = SEED_WAIT_S if self._first_start else RESTART_SEED_WAIT_S
+            self._seeds_until = self._clock.monotonic() + wait_s
             self._tasks.supervise(TaskKind.CONTROL, self._ask_seeds)
         self._fleet().subscribe(self._update_role)
         self._update_role()
@@ -111,9 +114,18 @@
         return self._change_s * STORE_PROBE_WAIT_SHARE
 
     def seed_wait_s(self) -> float:
-        """Return for how long a first read should wait for a seed, in seconds."""
+        """Return for how much longer the seeds are asked, in seconds."""
         return max(0.0, self._seeds_until - self._clock.monotonic())
 
+    def wait_for_seed(self) -> bool:
+        """Block while the seeds are asked; return whether a publisher is known."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._fresh_announcements() or not self.seed_wait_s(),
+                self.seed_wait_s(),
+            )
+            return bool(self._fresh_announcements())
+
     def announcement(self) -> Announcement:
         """Return the versions of the copies held here, publisher or not.
 
@@ -350,24 +362,36 @@
         own = self._fleet().me()
         order = rank(own.name, [_seed_member(item) for item in self._seeds])
         pause = threading.Event()
-        for seed in itertools.cycle(order):
-            if self._stopped or not self.seed_wait_s():
-                break
+        # Seeds that do not answer an entry that restarts have probably restarted too.
+        while not self._stopped and self._ask_each(order):
+            pause.wait(SEED_RETRY_S)
+        with self._changed:
+            self._seeds_until = float("-inf")
+            self._changed.notify_all()
+        self._update_role()
+
+    def _ask_each(self, seeds: list[FleetMember]) -> bool:
+        """Ask each seed once; return whether to ask them again."""
+        answered = False
+        for seed in seeds:
+            if not self.seed_wait_s():
+                return False
             try:
                 self._note(seed, self._peers.announcement(seed))
-                # Its announcements arrive once it knows this entry.
-                self._seeds_until = self._clock.monotonic() + SEED_WAIT_S
-                if self._hears_members():
-                    break
             except PeerUnavailableError as error:
                 logger.info(
                     "seed has no current tables; asking the next",
                     peer=seed.peer_address,
                     error=error.message,
                 )
-            pause.wait(SEED_RETRY_S)
-        self._seeds_until = float("-inf")
-        self._update_role()
+                continue
+            answered = True
+            # Its announcements arrive once it knows this entry.
+            self._seeds_until = self._clock.monotonic() + SEED_WAIT_S
+            if self._hears_members():
+                return False
+            break
+        return answered or self._first_start
 
     def _hears_members(self) -> bool:
         """Return whether another entry of the fleet announces the tables itself."""
@@ -429,4 +453,5 @@
         settings.bounds.change_ms / 1000,
         settings.entry.peer_address,
         settings.peers.seeds,
+        settings.entry.first_start,
     )
--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -28,6 +28,9 @@
         ``IP:port`` to listen on for messages of other entries.
     metrics_address : str
         ``IP:port`` to listen on for metrics scrapes.
+    first_start : bool
+        Whether the whole fleet starts for the first time. The entry may then wait
+        longer for the seeds, as no client waits for it yet.
     """
 
     name: str
@@ -37,6 +40,7 @@
     directory_address: str
     peer_address: str
     metrics_address: str
+    first_start: bool = False
 
 
 @frozen
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -137,7 +137,11 @@
         ...
 
     def seed_wait_s(self) -> float:
-        """Return for how long a first read should wait for a seed, in seconds."""
+        """Return for how much longer the seeds are asked, in seconds."""
+        ...
+
+    def wait_for_seed(self) -> bool:
+        """Block while the seeds are asked; return whether a publisher is known."""
         ...
 
     def announcement(self) -> Announcement:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -289,6 +289,10 @@
         """Return 0: the entry has no seeds."""
         return 0.0
 
+    def wait_for_seed(self) -> bool:
+        """Return False: the entry has no seeds."""
+        return False
+
     def has_other_publisher(self) -> bool:
         """Return False: no other entry announces the tables."""
         return False
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from attrs import evolve
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -24,6 +25,7 @@
 from dotterelpier.fleet_settings import (
     FleetEntrySettings,
     FleetSettings,
+    PeerSettings,
     StoreSettings,
 )
 from dotterelpier.kernel import make_kernel
@@ -168,6 +170,11 @@
     def __init__(self) -> None:
         self.mirror = TableMirror("t")
         self.unresponsive = False
+        self.asked: list[str] = []
+
+    def announcement(self, queried_member):
+        self.asked.append(queried_member.peer_address)
+        raise PeerUnavailableError("refused", step="test", peer=queried_member.name)
 
     def changes(self, queried_member, table, after):
         if self.unresponsive:
@@ -194,7 +201,7 @@
 class MirrorsHarness:
     """The service under test with its fakes."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: FleetSettings = SETTINGS) -> None:
         self.fleet, self.peers = FakeFleet(), FakePeers()
         self.datagrams = FakeDatagrams()
         self.kernel = make_kernel()
@@ -204,7 +211,7 @@
         self.kernel.register(ServiceName.DATAGRAMS, self.datagrams)
         self.kernel.register(ServiceName.FLEET_PEERS, self.peers)
         self.kernel.register(ServiceName.FLEET, self.fleet)
-        self.mirrors = make_mirrors(self.kernel, SETTINGS)
+        self.mirrors = make_mirrors(self.kernel, settings)
         self.mirrors.start()
 
     def announce(
@@ -344,6 +351,23 @@
         system.stop()
 
 
+@pytest.mark.parametrize("first_start", [True, False])
+def test_seeds_that_are_down_are_asked_again_only_at_the_first_start(
+    first_start,
+) -> None:
+    """After a loss of power the seeds restart too, and clients already wait."""
+    seeds = ("x:7", "x:8")
+    entry = evolve(SETTINGS.entry, first_start=first_start)
+    mirrors_harness = MirrorsHarness(
+        evolve(SETTINGS, entry=entry, peers=PeerSettings(seeds))
+    )
+    assert not mirrors_harness.mirrors.wait_for_seed()
+    mirrors_harness.stop()
+    asked = mirrors_harness.peers.asked
+    assert set(asked) == set(seeds)
+    assert (len(asked) > len(seeds)) == first_start
+
+
 def test_seed_without_the_store_is_not_believed() -> None:
     """A seed that lost the store must not bring back what was withdrawn since."""
     first = start_fleet_system()
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -13,7 +13,7 @@
 from dotterelpier.fleet.follower import make_follower
 from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.kernel import make_kernel
-from dotterelpier.model.fleet import StoreRow
+from dotterelpier.model.fleet import StoreReply, StoreRow
 from dotterelpier.platform.store import make_row_stores
 from dotterelpier.protocols import ServiceName
 from dotterelpier.protocols.fleet import StoreLink
@@ -97,13 +97,13 @@
 class FollowerPair:
     """Two followers of one store, the first of which polls the store in an outage."""
 
-    def __init__(self, stores) -> None:
+    def __init__(self, stores, replicas=None) -> None:
         self.kernel = make_kernel()
         self.kernel.register(ServiceName.CLOCK, make_clock())
         self.kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
         self.kernel.register(ServiceName.STORES, stores)
         self.kernel.register(ServiceName.STORE_LINK, make_store_link(self.kernel))
-        self.kernel.register(ServiceName.MIRRORS, SingleEntryReplicas())
+        self.kernel.register(ServiceName.MIRRORS, replicas or SingleEntryReplicas())
         self.link = self.kernel.find(ServiceName.STORE_LINK, StoreLink)
         self.value_by_key: dict[str, bytes | None] = {}
         self.snapshots = 0
@@ -148,6 +148,32 @@
     )
 
 
+class LaggingReplicas(SingleEntryReplicas):
+    """Replicas of a publisher that knows nothing newer than the first version."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    def wait_for_seed(self) -> bool:
+        return True
+
+    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+        self.reads += 1
+        return StoreReply((), 0, True)
+
+
+def test_follower_asks_the_store_after_lost_history(store) -> None:
+    """Another publisher may know no newer version, so asking it could go on forever."""
+    stores, state = store
+    replicas = LaggingReplicas()
+    state.put("op", "k", b"1")
+    state.forget_history()
+    pair = FollowerPair(stores, replicas)
+    wait_until(lambda: pair.value_by_key.get("k") == b"1", "the store is read")
+    pair.stop()
+    assert replicas.reads == len(pair.followers)
+
+
 def test_follower_reads_a_new_snapshot_after_lost_history(follower_pair) -> None:
     pair, state = follower_pair
     wait_until(lambda: pair.snapshots == 2, "both followers read a snapshot")
