A stopped entry starts no more ping tasks and health checks

Cause (a test run that did not end, and its stack): liveness and prober follow the fleet until their follower ends, so a change between their stop and that one's started a task that nobody ended. The process then ran until it was killed, and since its pings failed, it deleted the rows of entries that live. Both check that they are not stopped, under the lock that their tasks are started under. The two tests failed first.

--- a/dotterelpier/fleet/liveness.py
+++ b/dotterelpier/fleet/liveness.py
@@ -73,6 +73,7 @@
     _peers: FleetPeers
     _link: StoreLink
     _monitor_by_name: dict[str, PeerMonitor] = field(factory=dict)
+    _stopped: bool = False
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
@@ -81,8 +82,9 @@
         self.refresh()
 
     def stop(self) -> None:
-        """End all ping tasks."""
+        """End all ping tasks; a later change of the fleet starts none."""
         with self._lock:
+            self._stopped = True
             monitors = tuple(self._monitor_by_name.values())
             self._monitor_by_name.clear()
         for monitor in monitors:
@@ -92,6 +94,8 @@
         """Start and end ping tasks to match the current members."""
         wanted = {member.name: member for member in self._monitored_members()}
         with self._lock:
+            if self._stopped:
+                return
             for name, monitor in tuple(self._monitor_by_name.items()):
                 if wanted.get(name) != monitor.member:
                     del self._monitor_by_name[name]
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -167,6 +167,7 @@
     _checked_at_by_id: dict[str, float] = field(factory=dict)
     _connection_by_id: dict[str, HealthConnection] = field(factory=dict)
     _running_ids: set[str] = field(factory=set)
+    _stopped: bool = False
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
@@ -176,8 +177,9 @@
         self._tasks.supervise(TaskKind.CONTROL, self._serve)
 
     def stop(self) -> None:
-        """End all tasks."""
+        """End all tasks; a later change of the subset starts none."""
         with self._lock:
+            self._stopped = True
             probes = tuple(self._probe_by_id.values())
             self._probe_by_id.clear()
             connections = tuple(self._connection_by_id.values())
@@ -195,6 +197,8 @@
         instance_by_id = {item.id: item for item in self._registry.instances()}
         home_ids = self._subsets.home_ids()
         with self._lock:
+            if self._stopped:
+                return
             for instance_id, probe in tuple(self._probe_by_id.items()):
                 instance = instance_by_id.get(instance_id)
                 at_home = instance_id in home_ids
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -123,6 +123,17 @@
     tasks.stop()
 
 
+def test_stopped_entry_monitors_no_other(cluster) -> None:
+    """A late change of the fleet must not start tasks that nobody ends."""
+    tasks = make_tasks(LimitSettings())
+    liveness_service = FleetLiveness(tasks, cluster, cluster, cluster)
+    liveness_service.start()
+    liveness_service.stop()
+    cluster.listener()
+    assert not liveness_service._monitor_by_name
+    tasks.stop()
+
+
 def test_monitors_of_an_entry_are_spread_over_zones() -> None:
     members = tuple(member(number, "abc"[number % 3]) for number in range(15))
     zone_by_name = {item.name: item.zone for item in members}
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -112,6 +112,16 @@
     assert tasks.started == ["home task"]
 
 
+def test_stopped_prober_starts_no_task() -> None:
+    """A late change of the fleet must not start tasks that nobody ends."""
+    prober, _, tasks, _ = prober_of(SAME_ZONE)
+    prober.stop()
+    prober._registry.known = (HOME,)
+    prober._subsets.instances = (HOME,)
+    prober.refresh()
+    assert tasks.started == []
+
+
 def test_server_with_fresh_results_of_its_home_is_not_checked() -> None:
     prober, clock, tasks, conditions = prober_of(SAME_ZONE)
     conditions.verified_ids.add("same")
