A row that cannot be applied skips no other row of its reply

Cause (test_rows_that_cannot_be_applied_do_not_hold_up_the_later_ones failed once, and its log): where the faulty row and a later one came in one reply of the store, the error ended the loop over the rows, and the later one was lost for good, as the follower went on after the version of the reply. Rows are applied one by one, each error is logged with its key.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -169,6 +169,21 @@
             self._link.wait_until_reachable(OUTAGE_RETRY_S)
 
 
+def apply_each(
+    rows: tuple[StoreRow, ...], apply_row: Callable[[StoreRow], None]
+) -> None:
+    """Apply rows one by one; an unexpected error skips only its own row."""
+    for row in rows:
+        try:
+            apply_row(row)
+        except Exception:
+            logger.exception(
+                "row not applied; going on with the others",
+                key=row.key,
+                version=row.version,
+            )
+
+
 def make_follower(
     kernel: Kernel,
     table: str,
--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from dotterelpier.errors import ConflictError, PlatformError
-from dotterelpier.fleet.follower import TableFollower, make_follower
+from dotterelpier.fleet.follower import TableFollower, apply_each, make_follower
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember, StoreRow
 from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks
@@ -141,8 +141,7 @@
 
     def apply_changes(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply changed rows and call the listeners."""
-        for row in rows:
-            self._apply_row(row)
+        apply_each(rows, self._apply_row)
         with self._lock:
             self._sizes.append((self._clock.monotonic(), len(self._member_by_name)))
         self._metrics.set_gauge("members", len(self._member_by_name))
--- a/dotterelpier/fleet/registry.py
+++ b/dotterelpier/fleet/registry.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from dotterelpier.errors import ConfigError
-from dotterelpier.fleet.follower import TableFollower, make_follower
+from dotterelpier.fleet.follower import TableFollower, apply_each, make_follower
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import StoreRow
 from dotterelpier.model.instance import Instance
@@ -79,8 +79,7 @@
     def apply_changes(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply changed rows and call the listeners."""
         with self._lock:
-            for row in rows:
-                self._apply_row(row)
+            apply_each(rows, self._apply_row)
         self._notify_listeners()
 
     def _apply_row(self, row: StoreRow) -> None:
--- a/dotterelpier/fleet/routes.py
+++ b/dotterelpier/fleet/routes.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from dotterelpier.errors import ConfigError
-from dotterelpier.fleet.follower import TableFollower, make_follower
+from dotterelpier.fleet.follower import TableFollower, apply_each, make_follower
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import StoreRow
 from dotterelpier.model.route import RouteTable
@@ -68,17 +68,19 @@
 
     def apply_changes(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply changed rows, then call the listeners."""
-        for row in rows:
-            zone = self._zone(row)
-            if zone and row.value is None:
-                self._set_evacuated(self._evacuated - {zone})
-            elif zone:
-                self._set_evacuated(self._evacuated | {zone})
-            elif self._codec.is_configuration(row.key) and row.value is not None:
-                self._apply_table(row.value)
+        apply_each(rows, self._apply_row)
         for listener in self._listeners:
             listener()
 
+    def _apply_row(self, row: StoreRow) -> None:
+        zone = self._zone(row)
+        if zone and row.value is None:
+            self._set_evacuated(self._evacuated - {zone})
+        elif zone:
+            self._set_evacuated(self._evacuated | {zone})
+        elif self._codec.is_configuration(row.key) and row.value is not None:
+            self._apply_table(row.value)
+
     def _zone(self, row: StoreRow) -> str | None:
         return self._codec.evacuated_zone(row.key)
 
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dotterelpier.clients.http_connection import parse_address
+from dotterelpier.fleet.follower import apply_each
 from dotterelpier.model.fleet import StoreRow
 from dotterelpier.protocols import ServiceName, TaskKind
 from dotterelpier.protocols.fleet import DatagramKind, Fleet, Mirrors, Registry
@@ -117,3 +118,15 @@
     monkeypatch.setattr(type(registry), "_apply_row", fail_for_one)
     system.store.put_json("servers", "i-9", {})
     serves_new_rows(system)
+
+
+def test_row_that_cannot_be_applied_skips_no_other_row_of_its_reply() -> None:
+    applied = []
+
+    def apply_row(row: StoreRow) -> None:
+        if row.key == "b":
+            raise RuntimeError("unexpected")
+        applied.append(row.key)
+
+    apply_each(tuple(StoreRow(key, b"", 1) for key in "abc"), apply_row)
+    assert applied == ["a", "c"]
