Small fleets have two publishers; watches of the store last 25 s

The number of publishers follows the fleet, one for 32 entries, at least two and at most one for each zone; they are in different zones.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -19,8 +19,8 @@
 from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import Mirrors, RowStore, StoreLink, Stores
 
-# A dead connection is detected within this time; the store limits a watch to 30 s.
-WATCH_WAIT_S = 5.0
+# The store limits a watch to 30 s. TCP keep-alive detects a dead connection much sooner.
+WATCH_WAIT_S = 25.0
 # Delay of the store probe after a failed call.
 STORE_PROBE_RETRY_S = 0.5
 # Longest wait for an announcement before the follower calls the store.
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -1,8 +1,9 @@
 """Shares the store's tables among the entries, so that few of them call the store.
 
-In each zone one entry, the publisher, watches the store. It announces by datagram up to
-which version it knows each table, and the other entries fetch the missing changes from
-it. An entry that receives no announcements watches the store itself.
+A few entries, the publishers, watch the store: two in a small fleet, one in each zone of
+a large one. They announce by datagram up to which version they know each table, and the
+other entries fetch the missing changes from them. An entry that receives no
+announcements watches the store itself.
 """
 
 import threading
@@ -46,11 +47,14 @@
 SEED_WAIT_S = 1.5
 RESTART_SEED_WAIT_S = 0.25
 SEED_RETRY_S = 0.2
-# Entries of other zones have a publisher of their own, so in large fleets each hears of
+# In large fleets entries of other zones have a publisher of their own, so each hears of
 # this one by every few announcements.
 DISTANT_RECEIVERS = 64
-# A fleet of one zone gets a second publisher.
+# Another publisher must be known when one is lost.
 MIN_PUBLISHERS = 2
+# The calls of a publisher to the store cost about as much as the traffic between zones
+# that it saves to this many entries.
+ENTRIES_PER_PUBLISHER = 32
 
 
 @frozen
@@ -419,13 +423,18 @@
 
 
 def publisher_names(members: tuple[FleetMember, ...]) -> frozenset[str]:
-    """Return the names of the entries that watch the store for the others."""
+    """Return the names of the entries that watch the store for the others.
+
+    They are in different zones if there are enough.
+    """
     # The ranking keys must not change, so that entries of all releases choose alike.
     zones = {member.zone for member in members}
-    names = {
-        rank(f"keeper {zone}", [item for item in members if item.zone == zone])[0].name
+    first_of_zones = [
+        rank(f"keeper {zone}", [item for item in members if item.zone == zone])[0]
         for zone in zones
-    }
+    ]
+    wanted = max(MIN_PUBLISHERS, len(members) // ENTRIES_PER_PUBLISHER)
+    names = {item.name for item in rank("keeper", first_of_zones)[:wanted]}
     for member in rank("keeper", members):
         if len(names) < MIN_PUBLISHERS:
             names.add(member.name)
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -135,13 +135,30 @@
     return FleetMember(f"entry-{number}", zone, "x:1", f"x:{number}", "1")
 
 
-def test_each_zone_has_a_publisher_and_the_fleet_at_least_two() -> None:
-    members = tuple(member(number, "abc"[number % 3]) for number in range(12))
+@pytest.mark.parametrize(
+    ("size", "publishers"), [(1, 1), (2, 2), (5, 2), (15, 2), (100, 3), (320, 5)]
+)
+def test_publishers_grow_with_the_fleet_up_to_one_for_each_zone(
+    size, publishers
+) -> None:
+    members = tuple(member(number, "abcde"[number % 5]) for number in range(size))
     names = publisher_names(members)
-    assert len(names) == 3
-    assert {item.zone for item in members if item.name in names} == set("abc")
+    assert len(names) == publishers
+    zones = {item.zone for item in members if item.name in names}
+    assert len(zones) == publishers
+
+
+def test_fleet_of_one_zone_has_two_publishers() -> None:
     assert len(publisher_names(tuple(member(number) for number in range(5)))) == 2
-    assert publisher_names((member(1),)) == {"entry-1"}
+
+
+def test_zone_that_leaves_moves_only_its_publisher() -> None:
+    members = tuple(member(number, "abc"[number % 3]) for number in range(15))
+    before = publisher_names(members)
+    for zone in "abc":
+        rest = tuple(item for item in members if item.zone != zone)
+        left = {item.name for item in members if item.zone == zone}
+        assert before - left <= publisher_names(rest)
 
 
 class FakeFleet:
