Requests wait at the entry, in turns; a slot stays free where full servers are slower

And at some sites full backend servers are 1.7 times slower, so they finish fewer requests than with a slot free.

A waiting room (fleet/waiting) orders the requests of a service by arrival and priority; one waits while it can still be answered within its objective, is refused at once if its turn would come too late, and is told to return when those that wait now are served, spread, within a third of its time. Backend servers get no more requests than slots. Whether full servers are slower is learnt from answers (fleet/full_load). Second attempts that find no thread are refunded.

--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -175,9 +175,14 @@
 
 
 class OverloadedError(CallError):
-    """No slot came free before the deadline, or the queue was full."""
+    """No slot came free before the deadline, or the queue was full.
+
+    ``retry_after_s`` is the time after which a retry is expected to find room, in
+    seconds; None if it is not known.
+    """
 
     code = "overloaded"
+    retry_after_s: float | None = None
 
 
 class RefusedError(CallError):
--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -14,9 +14,6 @@
 # Slow phases of a backend server last about half a second, so an older load report does
 # not predict its work time.
 LOAD_FRESH_S = 0.7
-# Requests that may queue for each slot of a backend server at its usual work time. The
-# queue of a slower one is shorter, as each request in it waits for longer.
-QUEUE_PER_SLOT = 0.5
 # Added to the expected time if the request would take the last free slot, in multiples
 # of the usual work time: some backend servers slow down when they are nearly full.
 LAST_SLOT_PENALTY = 0.4
@@ -116,11 +113,9 @@
         reported = self.load.running + self.load.waiting
         return max(self.in_flight, reported + self.sent_since - self.ended_since)
 
-    def has_room(self, now: float) -> bool:
-        """Return whether its slots and its queue have room for one more request."""
-        slots = self.instance.slots
-        queue = int(slots * QUEUE_PER_SLOT / max(1.0, self.work_ratio(now)))
-        return self.estimated_in_flight() < slots + queue
+    def has_room(self, spare_slots: int = 0) -> bool:
+        """Return whether it can start one more request and keep some slots free."""
+        return self.estimated_in_flight() < max(1, self.instance.slots - spare_slots)
 
     def work_ratio(self, now: float) -> float:
         """Return the expected work time, in multiples of the usual.
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -10,6 +10,7 @@
 
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
+from dotterelpier.fleet.full_load import FullLoadEstimate
 from dotterelpier.fleet.work_time_estimates import WorkTimeEstimates
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import Instance, LoadFigures, Measurement
@@ -40,6 +41,7 @@
     _chooser: ConditionChooser = field(factory=ConditionChooser)
     _work_time_by_route: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _work_time_by_service: WorkTimeEstimates = field(factory=WorkTimeEstimates)
+    _full_load: FullLoadEstimate = field(factory=FullLoadEstimate)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
     _watchers_by_id: dict[str, list[Callable[[], None]]] = field(factory=dict)
@@ -63,7 +65,9 @@
         table = self._routes.table()
         now = self._clock.monotonic()
         with self._changed:
-            self._work_time_by_route.keep(table.route_names() if table else ())
+            routes = table.route_names() if table else frozenset()
+            self._work_time_by_route.keep(routes)
+            self._full_load.keep(routes)
             self._work_time_by_service.keep(table.config_by_service if table else ())
             before = self._condition_by_id
             self._condition_by_id = {
@@ -99,6 +103,7 @@
             now = self._clock.monotonic()
             ids = self._subsets.ids_by_service().get(service, ())
             usual_work_s = self._work_time_by_route.seconds(route.name)
+            spare_slots = int(self._full_load.keeps_slot_free())
             candidates = [
                 self._condition_by_id[item]
                 for item in ids
@@ -110,7 +115,7 @@
                 item
                 for item in candidates
                 if item.usable()
-                and item.has_room(now)
+                and item.has_room(spare_slots)
                 and item.expected_time(now) * usual_work_s <= remaining_s
                 and self._slow_start_allows(item, now, terms.warmup_per_s)
             ]
@@ -152,6 +157,8 @@
         )
         condition.in_flight += 1
         condition.sent_since += 1
+        # It is the turn of the next request that waits for room.
+        self._changed.notify_all()
         return chosen
 
     def wait_for_room(self, timeout_s: float) -> None:
@@ -197,6 +204,13 @@
         """Update the work time estimate of a route after a successful answer."""
         with self._changed:
             expected_time, service = choice.expected_time, choice.instance.service
+            self._full_load.note(
+                route.name,
+                choice.estimated_in_flight,
+                choice.instance.slots,
+                choice.work_ratio,
+                duration_s,
+            )
             self._work_time_by_route.note(route.name, duration_s, expected_time)
             self._work_time_by_service.note(service, duration_s, expected_time)
 
--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -19,7 +19,7 @@
 from dotterelpier.protocols import Clock, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import Mirrors, RowStore, StoreLink, Stores
 
-# The store limits a watch to 30 s. TCP keep-alive detects a dead connection much sooner.
+# The store limits a watch to 30 s. TCP keep-alive detects a dead connection sooner.
 WATCH_WAIT_S = 25.0
 # Delay of the store probe after a failed call.
 STORE_PROBE_RETRY_S = 0.5
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -32,6 +32,7 @@
 from dotterelpier.fleet.splitting import WeightedSplit
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
+from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
     Conditions,
@@ -39,14 +40,12 @@
     Instances,
     RetryBudget,
     Routes,
+    WaitingRoom,
 )
 
 STEP = "forwarding"
 # For a request without a timeout of its own.
 DEFAULT_TIMEOUT_S = 30.0
-# Share of the response time objective that a request may wait for room at a backend
-# server. It is refused after that, so that the client can retry within the objective.
-ROOM_WAIT_SHARE = 0.125
 # Share of the objective after which an idempotent request is hedged even if its backend
 # server is not known to be slow.
 HEDGE_DELAY_SHARE = 0.6
@@ -71,6 +70,7 @@
     _conditions: Conditions
     _instances: Instances
     _budget: RetryBudget
+    _waiting_room: WaitingRoom
     _split: WeightedSplit = field(factory=WeightedSplit)
 
     def serve(self, request: Request) -> Reply:
@@ -156,16 +156,32 @@
             ) from None
 
     def _send_first(self, state: RequestState) -> None:
-        now = self._clock.monotonic()
-        max_wait_s = state.route.target_s * ROOM_WAIT_SHARE
-        until = min(state.request.arrived_at + max_wait_s, state.deadline_at)
-        while not self._send(state):
-            remaining_s = until - self._clock.monotonic()
-            if remaining_s <= 0:
-                waited_ms = round((self._clock.monotonic() - now) * 1000, 1)
-                message = f"no backend server has room; waited {waited_ms} ms"
-                raise OverloadedError(message, step=STEP, peer=state.service)
-            self._conditions.wait_for_room(remaining_s)
+        """Send the first attempt, once there is room and the request's turn."""
+        ticket = self._waiting_room.enter(
+            state.service, state.route, state.request.arrived_at, state.deadline_at
+        )
+        sent = False
+        try:
+            while not (sent := self._send_in_turn(state, ticket)):
+                if not state.inbox.empty():
+                    message = "the client closed its connection"
+                    raise ClientLeftError(message, step=STEP)
+                remaining_s = ticket.wait_until - self._clock.monotonic()
+                if remaining_s <= 0:
+                    waited_ms = self._ms_since(state.request.arrived_at)
+                    reason = f"no backend server has room; waited {waited_ms} ms"
+                    raise self._waiting_room.refusal(ticket, reason)
+                self._conditions.wait_for_room(remaining_s)
+        finally:
+            self._waiting_room.leave(ticket, sent=sent)
+
+    def _send_in_turn(self, state: RequestState, ticket: Ticket) -> bool:
+        if self._clock.monotonic() >= ticket.wait_until:
+            # A late answer is better than none.
+            return self._send(state)
+        if not self._waiting_room.is_next(ticket):
+            return False
+        return self._send(state, min(ticket.objective_at, state.deadline_at))
 
     def _send(self, state: RequestState, due_at: float | None = None) -> bool:
         """Send to the best backend server not yet tried; return False if there is none.
@@ -273,8 +289,13 @@
         if not self._budget.try_withdraw(state.service):
             self._metrics.count("retries_denied", service=state.service)
             return False
-        if not self._send(state, due_at):
-            self._budget.refund(state.service)
+        sent = False
+        try:
+            sent = self._send(state, due_at)
+        finally:
+            if not sent:
+                self._budget.refund(state.service)
+        if not sent:
             return False
         self._metrics.count("retries", service=state.service)
         return True
@@ -394,4 +415,5 @@
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
+        kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
     )
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -1,8 +1,8 @@
 """Shares the store's tables among the entries, so that few of them call the store.
 
-A few entries, the publishers, watch the store: two in a small fleet, one in each zone of
-a large one. They announce by datagram up to which version they know each table, and the
-other entries fetch the missing changes from them. An entry that receives no
+A few entries, the publishers, watch the store: two in a small fleet, one in each zone
+of a large one. They announce by datagram up to which version they know each table, and
+the other entries fetch the missing changes from them. An entry that receives no
 announcements watches the store itself.
 """
 
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -24,6 +24,7 @@
 from dotterelpier.fleet.routes import make_routes
 from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.fleet.subsets import make_subsets
+from dotterelpier.fleet.waiting import make_waiting_room
 from dotterelpier.fleet_settings import FleetEntrySettings, FleetSettings
 from dotterelpier.frontends.clients import make_client_frontend
 from dotterelpier.frontends.fleet_peers import make_fleet_peer_frontend
@@ -146,6 +147,7 @@
 def _register_request_path(kernel: Kernel, settings: FleetSettings) -> None:
     budget = make_retry_budget(kernel, settings.bounds)
     kernel.register(ServiceName.RETRY_BUDGET, budget, (ServiceName.FLEET,))
+    kernel.register(ServiceName.WAITING_ROOM, make_waiting_room(kernel))
     dependencies: tuple[str, ...] = (ServiceName.CONDITIONS, ServiceName.RETRY_BUDGET)
     kernel.register(ServiceName.FORWARDING, make_forwarding(kernel), dependencies)
     stop = make_planned_stop(kernel, settings.bounds)
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -5,7 +5,12 @@
 from attrs import define
 from loguru import logger
 
-from dotterelpier.errors import DotterelpierError, InternalError, InvalidCallError
+from dotterelpier.errors import (
+    DotterelpierError,
+    InternalError,
+    InvalidCallError,
+    OverloadedError,
+)
 from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.frontends.http_server import (
     ARRIVED_AT,
@@ -117,10 +122,15 @@
             (OUTCOME_HEADER, problem_outcome(error).value),
         ]
         if status == STATUS_UNAVAILABLE:
-            headers.append(("Retry-After", str(RETRY_AFTER_S)))
+            headers.append(("Retry-After", f"{_retry_after_s(error):.2f}"))
         return Reply(status, tuple(headers), problem_body(error))
 
 
+def _retry_after_s(error: DotterelpierError) -> float:
+    stated_s = error.retry_after_s if isinstance(error, OverloadedError) else None
+    return RETRY_AFTER_S if stated_s is None else stated_s
+
+
 def _encode(
     environ: Environ, reply: Reply, start_response: StartResponse
 ) -> Iterable[bytes]:
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -10,6 +10,7 @@
     Pages,
     PlannedStop,
     RetryBudget,
+    WaitingRoom,
 )
 from dotterelpier.protocols.fleet.state import (
     Choice,
@@ -56,4 +57,5 @@
     "StoreLink",
     "Stores",
     "Subsets",
+    "WaitingRoom",
 ]
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -4,12 +4,15 @@
 from concurrent.futures import Future
 from typing import Protocol
 
+from dotterelpier.errors import OverloadedError
 from dotterelpier.model.call import Headers
 from dotterelpier.model.instance import (
     HealthReport,
     Instance,
 )
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
+from dotterelpier.model.route import Route
+from dotterelpier.model.ticket import Ticket
 
 
 class HeaderCodec(Protocol):
@@ -159,6 +162,44 @@
         ...
 
 
+class WaitingRoom(Protocol):
+    """Order and duration in which requests wait for room at a backend server."""
+
+    def enter(
+        self, service: str, route: Route, arrived_at: float, deadline_at: float
+    ) -> Ticket:
+        """Queue a request; the caller must call ``leave``.
+
+        Parameters
+        ----------
+        service : str
+            Service that the request is for.
+        route : Route
+            Route of the request.
+        arrived_at, deadline_at : float
+            Its arrival and the deadline of its answer, in seconds on the monotonic
+            clock.
+
+        Raises
+        ------
+        OverloadedError
+            If its turn is expected to come too late to answer it.
+        """
+        ...
+
+    def is_next(self, ticket: Ticket) -> bool:
+        """Return whether it is the turn of a request."""
+        ...
+
+    def leave(self, ticket: Ticket, *, sent: bool) -> None:
+        """Remove a request, which was sent to a backend server or gave up."""
+        ...
+
+    def refusal(self, ticket: Ticket, reason: str) -> OverloadedError:
+        """Return the error for a request that was not sent, with the time to retry."""
+        ...
+
+
 class Forwarding(Protocol):
     """Forwarding of client requests to backend servers."""
 
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -53,6 +53,7 @@
     DATAGRAMS = "datagrams"
     MEASUREMENTS = "measurements"
     RETRY_BUDGET = "retry_budget"
+    WAITING_ROOM = "waiting_room"
     FORWARDING = "forwarding"
     ENTRY_DIRECTORY = "entry_directory"
     PLANNED_STOP = "planned_stop"
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -78,6 +78,9 @@
     "hedges": MetricDeclaration(
         Counter, "Second attempts while the first one takes long.", ("service",)
     ),
+    "refusals": MetricDeclaration(
+        Counter, "Requests refused as no backend server has room.", ("service",)
+    ),
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
