Other zones are checked often while the own one lacks room

While no backend server of the own zone is fast and has a free slot, those of the subset elsewhere are checked each 0.25 s.

--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -161,6 +161,25 @@
         self._changed.notify_all()
         return chosen
 
+    def lacks_room(self, service: str) -> bool:
+        """Return whether no backend server of the own zone is fast and has a free slot.
+
+        Those of evacuated zones do not count.
+        """
+        zone = self._fleet.me().zone
+        spare_slots = int(self._full_load.keeps_slot_free())
+        with self._changed:
+            now = self._clock.monotonic()
+            return not any(
+                item.instance.zone == zone
+                and item.usable()
+                and item.work_ratio(now) < SLOW_RATIO
+                and item.has_room(spare_slots)
+                for instance_id in self._subsets.ids_by_service().get(service, ())
+                if (item := self._condition_by_id.get(instance_id)) is not None
+                and instance_id not in self._evacuated_ids
+            )
+
     def wait_for_room(self, timeout_s: float) -> None:
         """Block until there may be more room, or until the timeout.
 
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -35,6 +35,9 @@
 # Backend servers of other zones get requests only if this zone lacks room. These checks
 # verify that they can be reached; their registrations show when they leave.
 OTHER_ZONE_INTERVAL_S = 8.0
+# While the own zone lacks room for a service, requests go to other zones, so the load
+# of their backend servers must be known.
+OVERFLOW_INTERVAL_S = 0.25
 # An unverified backend server gets no requests until it answers a health check.
 UNVERIFIED_INTERVAL_S = 1.0
 # Share of the agreed health check rate that is used, so that the sum stays below it
@@ -275,23 +278,28 @@
     def start_due_checks(self) -> None:
         """Start the checks that are due, each in a task of its own."""
         now = self._clock.monotonic()
-        for plan in tuple(self._plan_by_id.values()):
-            if self._is_due(plan, now) and not self._start_check(plan, now):
+        plans = tuple(self._plan_by_id.values())
+        services = {plan.instance.service for plan in plans if not plan.same_zone}
+        lacking = frozenset(filter(self._conditions.lacks_room, services))
+        for plan in plans:
+            overflows = not plan.same_zone and plan.instance.service in lacking
+            if self._is_due(plan, now, overflows) and not self._start_check(plan, now):
                 return
 
-    def _is_due(self, plan: CheckPlan, now: float) -> bool:
+    def _is_due(self, plan: CheckPlan, now: float, overflows: bool) -> bool:
         instance_id = plan.instance.id
         checked_at = self._checked_at_by_id.get(instance_id)
         if checked_at is None and plan.same_zone:
             # Its home has checked it by the next round.
             self._checked_at_by_id[instance_id] = now - plan.interval_s
             return False
-        interval_s = plan.interval_s
+        interval_s = OVERFLOW_INTERVAL_S if overflows else plan.interval_s
         if not self._conditions.is_verified(instance_id):
             interval_s = min(interval_s, UNVERIFIED_INTERVAL_S)
         if checked_at is not None and now - checked_at < interval_s:
             return False
-        return self._conditions.needs_check(instance_id, PEER_RESULT_FRESH_S)
+        fresh_s = OVERFLOW_INTERVAL_S if overflows else PEER_RESULT_FRESH_S
+        return self._conditions.needs_check(instance_id, fresh_s)
 
     def _start_check(self, plan: CheckPlan, now: float) -> bool:
         """Check a backend server in a task; return False if too many checks run."""
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -196,6 +196,13 @@
         """
         ...
 
+    def lacks_room(self, service: str) -> bool:
+        """Return whether no backend server of the own zone is fast and has a free slot.
+
+        Those of evacuated zones do not count.
+        """
+        ...
+
     def wait_for_room(self, timeout_s: float) -> None:
         """Block until there may be more room, or until the timeout.
 
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -177,6 +177,24 @@
     assert len(picked(conditions, 20)) == used
 
 
+def test_zone_lacks_room_while_its_fast_servers_are_full_or_evacuated() -> None:
+    conditions, clock, routes, _ = conditions_of(instance(1), instance(2, "b"))
+    for item in (instance(1), instance(2, "b")):
+        check(conditions, clock, item)
+    assert not conditions.lacks_room("svc")
+    check(conditions, clock, instance(1), ratio=7.0)
+    assert conditions.lacks_room("svc")
+    check(conditions, clock, instance(1))
+    for _ in range(4):
+        conditions.pick("svc", ROUTE, frozenset({"i-2"}), 10.0)
+    assert conditions.lacks_room("svc")
+    conditions.note_ended("i-1", True)
+    assert not conditions.lacks_room("svc")
+    routes.evacuated.add("a")
+    conditions.refresh()
+    assert conditions.lacks_room("svc")
+
+
 def test_last_slot_is_left_free_while_another_server_has_more() -> None:
     conditions, clock, _, _ = conditions_of(instance(1), instance(2))
     for item in (instance(1), instance(2)):
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -32,6 +32,10 @@
     verified_ids: set[str] = field(factory=set)
     fresh_ids: set[str] = field(factory=set)
     work_s: float = 0.0
+    lacking: set[str] = field(factory=set)
+
+    def lacks_room(self, service: str) -> bool:
+        return service in self.lacking
 
     def is_verified(self, instance_id: str) -> bool:
         return instance_id in self.verified_ids
@@ -143,6 +147,16 @@
     assert count == 3
 
 
+def test_other_zone_is_checked_often_only_while_the_own_one_lacks_room() -> None:
+    prober, clock, tasks, conditions = prober_of(OTHER_ZONE)
+    conditions.verified_ids.add("other")
+    rarely = len(checks_within(prober, clock, tasks, 2.0))
+    conditions.lacking.add("shop")
+    assert len(checks_within(prober, clock, tasks, 2.0)) >= 4 > rarely
+    conditions.lacking.clear()
+    assert len(checks_within(prober, clock, tasks, 2.0)) <= 1
+
+
 def test_hanging_checks_are_bounded_and_the_others_follow() -> None:
     instances = [
         Instance(f"i-{number}", "shop", "x:1", "b", 4)
