--- a/dotterelpier/cli/serve.py
+++ b/dotterelpier/cli/serve.py
@@ -16,6 +16,8 @@
 def run_serve_command(settings: Path, environment: Environment) -> ExitStatus:
     """Run a fleet entry until SIGTERM or SIGINT; log to standard output.
 
+    The settings are read again on SIGHUP and when their file changes.
+
     Ends the process instead of returning.
 
     Raises
@@ -27,7 +29,7 @@
     log_stream = QueuedStream(environment.stdout)
     log_stream.start()
     configure_log(checked.log.level, log_stream)
-    run_fleet_entry(checked)
+    run_fleet_entry(checked, settings, lambda level: configure_log(level, log_stream))
     log_stream.close(LOG_FLUSH_TIMEOUT_S)
     # A normal exit joins all threads; one that waits for a failed peer would delay it.
     os._exit(ExitStatus.OK)
--- a/dotterelpier/fleet/directory.py
+++ b/dotterelpier/fleet/directory.py
@@ -5,7 +5,6 @@
 from attrs import define, field, frozen
 
 from dotterelpier.fleet.ranking import weight
-from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.protocols import ServiceName
@@ -13,6 +12,7 @@
     Conditions,
     EntryDirectory,
     Fleet,
+    LiveSettings,
     PlannedStop,
     Routes,
 )
@@ -45,7 +45,7 @@
     _routes: Routes
     _conditions: Conditions
     _stop: PlannedStop
-    _bounds: BoundSettings
+    _settings: LiveSettings
     # Ranking a large fleet takes milliseconds, so it is kept until the members change.
     _ranking_by_client_zone: dict[str, _Ranking] = field(factory=dict)
 
@@ -75,7 +75,7 @@
 
     def answer_ttl_s(self) -> float:
         """Return how long clients may cache an answer, in seconds."""
-        return min(ANSWER_TTL_S, self._bounds.directory_age_max_s)
+        return min(ANSWER_TTL_S, self._settings.bounds().directory_age_max_s)
 
     def _ranked(self, client_zone: str) -> tuple[FleetMember, ...]:
         members = self._fleet.members()
@@ -140,12 +140,12 @@
     return chosen[:MAX_ADDRESSES]
 
 
-def make_entry_directory(kernel: Kernel, bounds: BoundSettings) -> EntryDirectory:
-    """Return the directory; ``bounds`` limits the TTL of its answers."""
+def make_entry_directory(kernel: Kernel) -> EntryDirectory:
+    """Return the directory; the settings limit the TTL of its answers."""
     return CapacityDirectory(
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.ROUTES, Routes),
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.PLANNED_STOP, PlannedStop),
-        bounds,
+        kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
     )
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -28,6 +28,7 @@
     Datagrams,
     Fleet,
     FleetPeers,
+    LiveSettings,
     Mirrors,
 )
 from dotterelpier.wire.fleet import decode_announcement, encode_announcement
@@ -75,7 +76,7 @@
     _tasks: Tasks
     _datagrams: Datagrams
     _peers: FleetPeers
-    _change_s: float
+    _settings: LiveSettings
     _own_address: str
     _seeds: tuple[str, ...]
     _first_start: bool
@@ -115,7 +116,7 @@
 
     def store_probe_wait_s(self) -> float:
         """Return how long a watch of the store probe may last, in seconds."""
-        return self._change_s * STORE_PROBE_WAIT_SHARE
+        return self._change_s() * STORE_PROBE_WAIT_SHARE
 
     def seed_wait_s(self) -> float:
         """Return for how much longer the seeds are asked, in seconds."""
@@ -279,7 +280,10 @@
         return self._kernel.find(ServiceName.FLEET, Fleet)
 
     def _max_staleness_s(self) -> float:
-        return self._change_s * STALENESS_SHARE
+        return self._change_s() * STALENESS_SHARE
+
+    def _change_s(self) -> float:
+        return self._settings.bounds().change_ms / 1000
 
     def _differs(
         self, before: ReceivedAnnouncement, after: ReceivedAnnouncement
@@ -459,7 +463,7 @@
         kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.DATAGRAMS, Datagrams),
         kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
-        settings.bounds.change_ms / 1000,
+        kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
         settings.entry.peer_address,
         settings.peers.seeds,
         settings.entry.first_start,
--- a/dotterelpier/fleet/planned_stop.py
+++ b/dotterelpier/fleet/planned_stop.py
@@ -5,10 +5,15 @@
 from attrs import define, field
 from loguru import logger
 
-from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import Clock, Metrics, ServiceName, StoppableFrontend
-from dotterelpier.protocols.fleet import Fleet, PlannedStop, Registry, Routes
+from dotterelpier.protocols.fleet import (
+    Fleet,
+    LiveSettings,
+    PlannedStop,
+    Registry,
+    Routes,
+)
 
 # Share of the grace period during which new connections are still accepted. Meanwhile
 # clients learn from the directory that this entry leaves.
@@ -33,7 +38,7 @@
     _fleet: Fleet
     _routes: Routes
     _registry: Registry
-    _bounds: BoundSettings
+    _settings: LiveSettings
     _stopping: threading.Event = field(factory=threading.Event)
 
     def takes_requests(self) -> bool:
@@ -51,16 +56,17 @@
         Returns at the drain deadline even if requests are still in flight.
         """
         began_at = self._clock.monotonic()
+        grace_s = self._settings.bounds().grace_s
         self._stopping.set()
         self._metrics.set_gauge("stopping", 1)
-        logger.info("stop began", step="stop", grace_s=self._bounds.grace_s)
+        logger.info("stop began", step="stop", grace_s=grace_s)
         frontend = self._kernel.find(ServiceName.CLIENT_FRONTEND, StoppableFrontend)
         frontend.close_after_answers()
         self._fleet.leave()
-        listen_until = began_at + self._bounds.grace_s * LISTEN_SHARE
+        listen_until = began_at + grace_s * LISTEN_SHARE
         threading.Event().wait(max(0.0, listen_until - self._clock.monotonic()))
         frontend.stop_listening()
-        self._wait_for_answers(began_at + self._bounds.grace_s * DRAIN_END_SHARE)
+        self._wait_for_answers(began_at + grace_s * DRAIN_END_SHARE)
 
     def _wait_for_answers(self, until: float) -> None:
         frontend = self._kernel.find(ServiceName.CLIENT_FRONTEND, StoppableFrontend)
@@ -76,8 +82,8 @@
         logger.info("all requests answered", step="stop")
 
 
-def make_planned_stop(kernel: Kernel, bounds: BoundSettings) -> PlannedStop:
-    """Return the planned stop, not yet started; ``bounds`` holds the grace period."""
+def make_planned_stop(kernel: Kernel) -> PlannedStop:
+    """Return the planned stop, not yet started."""
     return GracefulStop(
         kernel,
         kernel.find(ServiceName.CLOCK, Clock),
@@ -85,5 +91,5 @@
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.ROUTES, Routes),
         kernel.find(ServiceName.REGISTRY, Registry),
-        bounds,
+        kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
     )
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -19,6 +19,7 @@
     Fleet,
     HealthConnection,
     Instances,
+    LiveSettings,
     Measurements,
     Registry,
     Routes,
@@ -163,7 +164,7 @@
     _conditions: Conditions
     _instances: Instances
     _measurements: Measurements
-    _probes_per_s: float
+    _settings: LiveSettings
     _checks: HealthChecks
     _probe_by_id: dict[str, HomeProbe] = field(factory=dict)
     _plan_by_id: Mapping[str, CheckPlan] = field(factory=dict)
@@ -256,7 +257,7 @@
         """
         members, zone = self._fleet.members(), self._fleet.me().zone
         zone_size = sum(member.zone == zone for member in members)
-        rate = self._probes_per_s * PROBE_SHARE / 2
+        rate = self._settings.bounds().probes_per_s * PROBE_SHARE / 2
         same_zone_s = max(SAME_ZONE_INTERVAL_S, zone_size / rate)
         other_zone_s = max(OTHER_ZONE_INTERVAL_S, (len(members) - zone_size) / rate)
         plan_by_id = {}
@@ -347,17 +348,8 @@
     )
 
 
-def make_prober(kernel: Kernel, probes_per_s: float) -> ZoneProber:
-    """Return the prober, not yet started.
-
-    Parameters
-    ----------
-    kernel : Kernel
-        Kernel with the services that the prober uses.
-    probes_per_s : float
-        Limit on the health checks of one backend server per second, by all entries
-        together.
-    """
+def make_prober(kernel: Kernel) -> ZoneProber:
+    """Return the prober, not yet started; the settings limit the rate of its checks."""
     clock = kernel.find(ServiceName.CLOCK, Clock)
     metrics = kernel.find(ServiceName.METRICS, Metrics)
     routes = kernel.find(ServiceName.ROUTES, Routes)
@@ -374,6 +366,6 @@
         conditions,
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.MEASUREMENTS, Measurements),
-        probes_per_s,
+        kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
         HealthChecks(clock, metrics, routes, conditions),
     )
--- a/dotterelpier/fleet/retry_budget.py
+++ b/dotterelpier/fleet/retry_budget.py
@@ -5,10 +5,9 @@
 
 from attrs import define, field
 
-from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import Clock, ServiceName
-from dotterelpier.protocols.fleet import Fleet, RetryBudget
+from dotterelpier.protocols.fleet import Fleet, LiveSettings, RetryBudget
 
 # Share of the agreed budget that is used. The windows of the entries differ, and an
 # entry that restarts loses count of what it spent.
@@ -40,7 +39,7 @@
 
     _clock: Clock
     _fleet: Fleet
-    _bounds: BoundSettings
+    _settings: LiveSettings
     _window_by_service: dict[str, _Window] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
@@ -51,10 +50,11 @@
 
     def try_withdraw(self, service: str) -> bool:
         """Withdraw one retry from the budget; return False if it is used up."""
-        slack = self._bounds.retry_slack / self._fleet.size()
+        bounds = self._settings.bounds()
+        slack = bounds.retry_slack / self._fleet.size()
         with self._lock:
             window = self._window(service)
-            allowed = self._bounds.retry_ratio * len(window.requests) + slack
+            allowed = bounds.retry_ratio * len(window.requests) + slack
             if len(window.retries) + 1 > allowed * BUDGET_SHARE:
                 return False
             window.retries.append(self._clock.monotonic())
@@ -69,14 +69,14 @@
 
     def _window(self, service: str) -> _Window:
         window = self._window_by_service.setdefault(service, _Window())
-        window.expire(self._clock.monotonic() - self._bounds.retry_window_s)
+        window.expire(self._clock.monotonic() - self._settings.bounds().retry_window_s)
         return window
 
 
-def make_retry_budget(kernel: Kernel, bounds: BoundSettings) -> RetryBudget:
-    """Return the budget with no retries counted; ``bounds`` holds its limits."""
+def make_retry_budget(kernel: Kernel) -> RetryBudget:
+    """Return the budget with no retries counted; the settings hold its limits."""
     return SharedRetryBudget(
         kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.FLEET, Fleet),
-        bounds,
+        kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
     )
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -3,6 +3,8 @@
 import signal
 import threading
 import uuid
+from collections.abc import Callable
+from pathlib import Path
 from types import FrameType
 
 from loguru import logger
@@ -13,6 +15,7 @@
 from dotterelpier.fleet.conditions import make_conditions
 from dotterelpier.fleet.directory import make_entry_directory
 from dotterelpier.fleet.forwarding import make_forwarding
+from dotterelpier.fleet.live_settings import make_live_settings
 from dotterelpier.fleet.liveness import make_liveness
 from dotterelpier.fleet.measurements import make_measurements
 from dotterelpier.fleet.members import make_fleet
@@ -40,7 +43,7 @@
 from dotterelpier.platform.pages import make_platform_pages
 from dotterelpier.platform.store import make_row_stores
 from dotterelpier.protocols import ServiceName
-from dotterelpier.protocols.fleet import PlannedStop, StoreLink
+from dotterelpier.protocols.fleet import LiveSettings, PlannedStop, StoreLink
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.metrics import make_metrics
 from dotterelpier.services.tasks import make_tasks
@@ -48,11 +51,22 @@
 from dotterelpier.settings import LimitSettings
 
 
-def run_fleet_entry(settings: FleetSettings) -> None:
+def run_fleet_entry(
+    settings: FleetSettings, path: Path, apply_log_level: Callable[[str], None]
+) -> None:
     """Run an entry until SIGTERM or SIGINT, then perform the planned stop.
 
     Must run in the main thread, as it installs signal handlers.
 
+    Parameters
+    ----------
+    settings : FleetSettings
+        Settings to start with.
+    path : Path
+        Their file, which is read again on SIGHUP and when it changes.
+    apply_log_level : Callable
+        Called with the log level of changed settings.
+
     Raises
     ------
     SettingsError
@@ -63,15 +77,11 @@
     def request_stop(number: int, frame: FrameType | None) -> None:
         stop_requested.set()
 
-    def log_reload(number: int, frame: FrameType | None) -> None:
-        logger.info(
-            "SIGHUP ignored; settings are read at the next start", step="entry.reload"
-        )
-
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    signal.signal(signal.SIGHUP, log_reload)
-    kernel = make_fleet_entry(settings)
+    kernel = make_fleet_entry(settings, path, apply_log_level)
+    live_settings = kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings)
+    signal.signal(signal.SIGHUP, lambda number, frame: live_settings.request_reload())
     try:
         kernel.start()
     except BaseException:
@@ -86,12 +96,22 @@
     logger.info("entry stopped", step="entry", entry=settings.entry.name)
 
 
-def make_fleet_entry(settings: FleetSettings) -> Kernel:
-    """Return a kernel with all services of an entry, not yet started."""
+def make_fleet_entry(
+    settings: FleetSettings,
+    path: Path | None = None,
+    apply_log_level: Callable[[str], None] = lambda level: None,
+) -> Kernel:
+    """Return a kernel with all services of an entry, not yet started.
+
+    The settings follow the file at ``path`` if there is one.
+    """
     kernel = make_kernel()
+    kernel.register(ServiceName.TASKS, make_tasks(LimitSettings()))
+    live_settings = make_live_settings(kernel, settings, path, apply_log_level)
+    kernel.register(ServiceName.LIVE_SETTINGS, live_settings, (ServiceName.TASKS,))
     _register_foundations(kernel, settings)
     _register_fleet_state(kernel, settings)
-    _register_request_path(kernel, settings)
+    _register_request_path(kernel)
     _register_frontends(kernel, settings)
     return kernel
 
@@ -110,7 +130,6 @@
     tasks, timer = ServiceName.TASKS, ServiceName.TIMER
     kernel.register(ServiceName.CLOCK, make_clock())
     kernel.register(ServiceName.METRICS, make_metrics())
-    kernel.register(tasks, make_tasks(LimitSettings()))
     kernel.register(timer, make_timer(kernel), (tasks,))
     kernel.register(ServiceName.STORES, make_row_stores(settings.store.address))
     kernel.register(ServiceName.CODEC, make_store_codec())
@@ -138,21 +157,21 @@
     kernel.register(ServiceName.CONDITIONS, make_conditions(kernel), dependencies)
     dependencies = (ServiceName.CONDITIONS, ServiceName.DATAGRAMS)
     kernel.register(ServiceName.MEASUREMENTS, make_measurements(kernel), dependencies)
-    prober = make_prober(kernel, settings.bounds.probes_per_s)
+    prober = make_prober(kernel)
     dependencies = (ServiceName.MEASUREMENTS, ServiceName.INSTANCES)
     kernel.register(ServiceName.PROBER, prober, dependencies)
     kernel.register(ServiceName.LIVENESS, make_liveness(kernel), (ServiceName.FLEET,))
 
 
-def _register_request_path(kernel: Kernel, settings: FleetSettings) -> None:
-    budget = make_retry_budget(kernel, settings.bounds)
+def _register_request_path(kernel: Kernel) -> None:
+    budget = make_retry_budget(kernel)
     kernel.register(ServiceName.RETRY_BUDGET, budget, (ServiceName.FLEET,))
     kernel.register(ServiceName.WAITING_ROOM, make_waiting_room(kernel))
     dependencies: tuple[str, ...] = (ServiceName.CONDITIONS, ServiceName.RETRY_BUDGET)
     kernel.register(ServiceName.FORWARDING, make_forwarding(kernel), dependencies)
-    stop = make_planned_stop(kernel, settings.bounds)
+    stop = make_planned_stop(kernel)
     kernel.register(ServiceName.PLANNED_STOP, stop, (ServiceName.FORWARDING,))
-    directory = make_entry_directory(kernel, settings.bounds)
+    directory = make_entry_directory(kernel)
     dependencies = (ServiceName.PLANNED_STOP,)
     kernel.register(ServiceName.ENTRY_DIRECTORY, directory, dependencies)
 
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from dotterelpier.errors import OverloadedError
+from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.model.call import Headers
 from dotterelpier.model.instance import (
     HealthReport,
@@ -146,6 +147,18 @@
         ...
 
 
+class LiveSettings(Protocol):
+    """Settings in force, which follow their file without a restart."""
+
+    def bounds(self) -> BoundSettings:
+        """Return the limits in force."""
+        ...
+
+    def request_reload(self) -> None:
+        """Read the settings file again; safe in a signal handler."""
+        ...
+
+
 class RetryBudget(Protocol):
     """Limit on retries and hedged requests, by service."""
 
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -54,6 +54,7 @@
     MEASUREMENTS = "measurements"
     RETRY_BUDGET = "retry_budget"
     WAITING_ROOM = "waiting_room"
+    LIVE_SETTINGS = "live_settings"
     FORWARDING = "forwarding"
     ENTRY_DIRECTORY = "entry_directory"
     PLANNED_STOP = "planned_stop"
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from dotterelpier.errors import ConflictError, PlatformUnavailableError
+from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.kernel import Kernel, make_kernel
 from dotterelpier.model.audit import AuditEntry
 from dotterelpier.model.fleet import StoreReply
@@ -306,3 +307,14 @@
         self, table: str, reply: StoreReply, *, is_store_probe: bool
     ) -> None:
         """Discard the reply: no other entry needs it."""
+
+
+class FixedSettings:
+    """Settings that do not change, with given limits."""
+
+    def __init__(self, bounds: BoundSettings | None = None) -> None:
+        self._bounds = bounds or BoundSettings()
+
+    def bounds(self) -> BoundSettings:
+        """Return the limits."""
+        return self._bounds
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -31,7 +31,7 @@
     Measurement,
 )
 from dotterelpier.model.route import Route, RouteTable, ServiceConfig, Share
-from tests.fakes import ManualClock
+from tests.fakes import FixedSettings, ManualClock
 
 ROUTE = Route("r", "h", "/a/", (Share("svc", 1.0),), True, target_s=0.4)
 TERMS = ServiceConfig("svc", "/health", 100, 3.0, 7.3)
@@ -333,7 +333,7 @@
 
     fleet = Fleet(*members)
     entry_directory = CapacityDirectory(
-        fleet, Routes(), Capacities(), Taking(), BoundSettings()
+        fleet, Routes(), Capacities(), Taking(), FixedSettings()
     )
     return entry_directory.addresses("h", client_zone)
 
@@ -404,7 +404,8 @@
         self.clock = ManualClock()
         fleet = Fleet(*(member(f"e-{number}") for number in range(entries)))
         self.budgets = [
-            SharedRetryBudget(self.clock, fleet, self.BOUNDS) for _ in range(entries)
+            SharedRetryBudget(self.clock, fleet, FixedSettings(self.BOUNDS))
+            for _ in range(entries)
         ]
         self.requests: list[float] = []
         self.retries: list[float] = []
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -16,7 +16,7 @@
     ZoneProber,
 )
 from dotterelpier.model.instance import Instance
-from tests.fakes import ManualClock
+from tests.fakes import FixedSettings, ManualClock
 from tests.test_fleet_decisions import Fleet, Registry, member
 
 HOME = Instance("home", "shop", "x:1", "a", 4)
@@ -94,7 +94,7 @@
         conditions,
         HealthConnections(),
         NOTHING,
-        60.0,
+        FixedSettings(),
         NOTHING,
     )
     prober.refresh()
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -42,6 +42,7 @@
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
 from dotterelpier.wire.fleet import encode_announcement
+from tests.fakes import FixedSettings
 from tests.fleet_system import (
     ScriptedInstance,
     answer,
@@ -228,6 +229,7 @@
         self.kernel.register(ServiceName.DATAGRAMS, self.datagrams)
         self.kernel.register(ServiceName.FLEET_PEERS, self.peers)
         self.kernel.register(ServiceName.FLEET, self.fleet)
+        self.kernel.register(ServiceName.LIVE_SETTINGS, FixedSettings(settings.bounds))
         self.mirrors = make_mirrors(self.kernel, settings)
         self.mirrors.start()
 
