Only four servers elsewhere are checked often while the own zone lacks room

Each entry takes the first four of its own order, none of an evacuated zone; a choice among four is nearly as good as among twelve, and bytes between zones are billed.

--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from dotterelpier.errors import CallError, TaskPoolFullError
+from dotterelpier.fleet.ranking import weight
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import Instance, Measurement
 from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks, Timer
@@ -39,6 +40,9 @@
 # While the own zone lacks room for a service, requests go to other zones, so the load
 # of their backend servers must be known.
 OVERFLOW_INTERVAL_S = 0.25
+# A choice among this many is nearly as good as among all, and traffic between zones is
+# billed.
+OVERFLOW_SERVERS = 4
 # An unverified backend server gets no requests until it answers a health check.
 UNVERIFIED_INTERVAL_S = 1.0
 # Share of the agreed health check rate that is used, so that the sum stays below it
@@ -280,13 +284,30 @@
         """Start the checks that are due, each in a task of its own."""
         now = self._clock.monotonic()
         plans = tuple(self._plan_by_id.values())
-        services = {plan.instance.service for plan in plans if not plan.same_zone}
-        lacking = frozenset(filter(self._conditions.lacks_room, services))
+        overflow_ids = self._overflow_ids(plans)
         for plan in plans:
-            overflows = not plan.same_zone and plan.instance.service in lacking
+            overflows = plan.instance.id in overflow_ids
             if self._is_due(plan, now, overflows) and not self._start_check(plan, now):
                 return
 
+    def _overflow_ids(self, plans: tuple[CheckPlan, ...]) -> frozenset[str]:
+        """Return the servers elsewhere to send to while the own zone lacks room.
+
+        Each entry has its own order, so that they do not all choose the same few.
+        """
+        distant_by_service: dict[str, list[Instance]] = {}
+        for plan in plans:
+            if not plan.same_zone and not self._routes.is_evacuated(plan.instance.zone):
+                distant = distant_by_service.setdefault(plan.instance.service, [])
+                distant.append(plan.instance)
+        own_name = self._fleet.me().name
+        chosen: set[str] = set()
+        for service, distant in distant_by_service.items():
+            if self._conditions.lacks_room(service):
+                distant.sort(key=lambda item: weight(own_name, item.id))
+                chosen.update(item.id for item in distant[:OVERFLOW_SERVERS])
+        return frozenset(chosen)
+
     def _is_due(self, plan: CheckPlan, now: float, overflows: bool) -> bool:
         instance_id = plan.instance.id
         checked_at = self._checked_at_by_id.get(instance_id)
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -3,13 +3,14 @@
 from typing import Any
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from dotterelpier.fleet.prober import (
     HOME_INTERVAL_S,
     MAX_CONCURRENT_CHECKS,
     MAX_HOME_INTERVAL_S,
     OTHER_ZONE_INTERVAL_S,
+    OVERFLOW_SERVERS,
     SAME_ZONE_INTERVAL_S,
     UNVERIFIED_INTERVAL_S,
     HomeProbe,
@@ -17,7 +18,7 @@
 )
 from dotterelpier.model.instance import Instance
 from tests.fakes import FixedSettings, ManualClock
-from tests.test_fleet_decisions import Fleet, Registry, member
+from tests.test_fleet_decisions import Fleet, Registry, Routes, member
 
 HOME = Instance("home", "shop", "x:1", "a", 4)
 SAME_ZONE = Instance("same", "shop", "x:2", "a", 4)
@@ -87,7 +88,7 @@
         NOTHING,
         tasks,
         NOTHING,
-        NOTHING,
+        Routes(),
         Registry(*instances),
         Fleet(member("e-1")),
         Subsets(instances),
@@ -157,6 +158,20 @@
     assert len(checks_within(prober, clock, tasks, 2.0)) <= 1
 
 
+def test_only_a_few_servers_elsewhere_are_checked_often() -> None:
+    distant = tuple(
+        evolve(OTHER_ZONE, id=f"other-{number}", address=f"x:{number}")
+        for number in range(12)
+    )
+    prober, clock, tasks, conditions = prober_of(*distant)
+    conditions.verified_ids.update(item.id for item in distant)
+    checks_within(prober, clock, tasks, 2.0)
+    conditions.lacking.add("shop")
+    assert len(set(checks_within(prober, clock, tasks, 2.0))) == OVERFLOW_SERVERS
+    prober._routes.evacuated.add("b")
+    assert checks_within(prober, clock, tasks, 2.0) == []
+
+
 def test_hanging_checks_are_bounded_and_the_others_follow() -> None:
     instances = [
         Instance(f"i-{number}", "shop", "x:1", "b", 4)
