--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -74,6 +74,8 @@
 def _toml(value: Any) -> str:
     if isinstance(value, str):
         return f'"{value}"'
+    if isinstance(value, bool):
+        return str(value).lower()
     return "[]" if value == () else f"{value:g}" if value < 1e6 else str(value)
 
 
