Request bodies are held within a part of the memory; others are refused unread

Before, an entry held whatever clients sent: 64 requests of up to the largest body, each up to three times, on VMs of 200 MB. Bytes that arrived are counted until the request is answered or its client leaves; a request whose declared body does not fit is refused with 503, not run, and Retry-After before its body is read, a chunked one once it exceeds the limit. A body that is announced and does not come keeps no memory from others.

--- a/dotterelpier/fleet/live_settings.py
+++ b/dotterelpier/fleet/live_settings.py
@@ -21,7 +21,7 @@
 # The file may change without a signal.
 CHECK_INTERVAL_S = 2.0
 # Tables of which a change needs a restart, as sockets and names depend on them.
-FIXED_TABLES = ("entry", "store", "peers")
+FIXED_TABLES = ("entry", "store", "peers", "limits")
 # Tells about the start only.
 IGNORED_KEYS = frozenset({"entry.first_start"})
 
--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -103,6 +103,20 @@
     change_ms: float = field(default=2000.0, validator=[ge(500), le(60_000)])
 
 
+@frozen
+class FleetLimitSettings:
+    """What the VM of the entry provides.
+
+    Attributes
+    ----------
+    memory_mb : float
+        Memory of the process, in MB. A part of it holds bodies of requests; those that
+        do not fit are refused.
+    """
+
+    memory_mb: float = field(default=300.0, validator=[ge(32), le(1_000_000)])
+
+
 @frozen
 class FleetLogSettings:
     """What is logged.
@@ -125,6 +139,7 @@
     bounds: BoundSettings = Factory(BoundSettings)
     log: FleetLogSettings = Factory(FleetLogSettings)
     peers: PeerSettings = Factory(PeerSettings)
+    limits: FleetLimitSettings = Factory(FleetLimitSettings)
 
 
 def read_fleet_settings(path: Path) -> FleetSettings:
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -42,6 +42,9 @@
 STEP = "clients.decode"
 # Concurrency limit: each request occupies a thread until its backend server answers.
 THREADS = 64
+# Share of the memory of the VM for bodies of requests. Each is held up to three times:
+# received, forwarded and written.
+BODY_MEMORY_SHARE = 0.2
 STATUS_UNAVAILABLE = 503
 # A backend server works on a request for about this long, so a slot is free by then.
 RETRY_AFTER_S = 0.2
@@ -207,5 +210,6 @@
         limits.header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
         detects_disconnect=True,
+        body_memory_bytes=int(settings.limits.memory_mb * 1e6 * BODY_MEMORY_SHARE),
     )
     return ClientFrontend(server, kernel.find(ServiceName.ROUTES, Routes))
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -13,6 +13,7 @@
 
 from dotterelpier.clients.http_connection import is_readable, parse_address
 from dotterelpier.errors import SettingsError
+from dotterelpier.frontends.body_budget import BodyBudget
 from dotterelpier.frontends.dispatcher import make_dispatcher
 from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.model.route import ClientLimits
@@ -97,6 +98,9 @@
     def handle_close(self) -> None:
         """Close the connection and call the listeners for a disconnect."""
         super().handle_close()
+        if self.request is not None:
+            # The rest of a request that was being received will not come.
+            self.request.close()
         for listener in self.close_listeners:
             listener()
 
@@ -120,6 +124,7 @@
     _max_header_bytes: int
     _tasks: Tasks
     _detects_disconnect: bool = False
+    _body_budget: BodyBudget | None = None
     _server: Any = None
     _socket_map: dict[int, Any] = field(factory=dict)
 
@@ -138,6 +143,7 @@
                 error.strerror or str(error), step="http.listen", peer=self._address
             ) from None
         self._server.channel_class = EntryChannel
+        self._server.adj.body_budget = self._body_budget
         self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
     def _listen(self) -> Any:
@@ -258,9 +264,13 @@
     tasks: Tasks,
     *,
     detects_disconnect: bool = False,
+    body_memory_bytes: int | None = None,
 ) -> HttpServer:
     """Return a server that does not listen yet.
 
+    With ``body_memory_bytes``, requests whose bodies do not fit into that much memory
+    together with those of others are refused with 503, if possible unread.
+
     With ``detects_disconnect`` the server detects that a client closes its connection
     while a request is served. It then takes a half-closed connection for a disconnect,
     so clients must not close only their sending side.
@@ -273,4 +283,5 @@
         max_header_bytes,
         tasks,
         detects_disconnect,
+        None if body_memory_bytes is None else BodyBudget(body_memory_bytes),
     )
--- a/dotterelpier/frontends/strict_http.py
+++ b/dotterelpier/frontends/strict_http.py
@@ -8,13 +8,22 @@
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.task import ErrorTask
 
-from dotterelpier.errors import DotterelpierError, InternalError, InvalidCallError
+from dotterelpier.errors import (
+    DotterelpierError,
+    InternalError,
+    InvalidCallError,
+    OverloadedError,
+)
+from dotterelpier.frontends.body_budget import BodyMemoryFullError
 from dotterelpier.wire.backend import OUTCOME_HEADER
 from dotterelpier.wire.problem import CONTENT_TYPE, problem_body, problem_outcome
 
 STEP = "http.parse"
 HTTP_VERSIONS = ("1.0", "1.1")
 INTERNAL_STATUS = 500
+UNAVAILABLE_STATUS = 503
+# Bodies that arrive now are served within about this time.
+RETRY_AFTER_S = "1"
 
 TARGET_PATTERN = re.compile(r"[!-~]+")
 HOST_PATTERN = re.compile(r"[A-Za-z0-9.\-_:\[\]]*")
@@ -29,6 +38,30 @@
 
     request_uri: str
     arrived_at: float = 0.0
+    held_bytes = 0
+
+    def received(self, data: bytes) -> int:
+        """Parse data; refuse the request if its body cannot be held in memory."""
+        in_body = self.body_rcv is not None
+        consumed = int(super().received(data))
+        budget = getattr(self.adj, "body_budget", None)
+        if budget is None or self.error or self.body_rcv is None:
+            return consumed
+        arrived = consumed if in_body else 0
+        if arrived and budget.try_hold(arrived):
+            self.held_bytes += arrived
+        elif arrived or not budget.has_room(self.content_length):
+            self.error = BodyMemoryFullError("no memory for the body of the request")
+            self.completed = True
+        return consumed
+
+    def close(self) -> None:
+        """Drop the body, and count its bytes as no longer held."""
+        super().close()
+        if self.held_bytes:
+            adjustments: Any = self.adj
+            adjustments.body_budget.release(self.held_bytes)
+            self.held_bytes = 0
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the request line and the headers.
@@ -84,6 +117,8 @@
             ("Content-Type", CONTENT_TYPE),
             (OUTCOME_HEADER, problem_outcome(error).value),
         ]
+        if http_error.code == UNAVAILABLE_STATUS:
+            self.response_headers.append(("Retry-After", RETRY_AFTER_S))
         self.set_close_on_finish()
         self.content_length = len(body)
         self.write(body)
@@ -129,4 +164,6 @@
 def _make_error(status: int, message: str) -> DotterelpierError:
     if status == INTERNAL_STATUS:
         return InternalError("the request could not be served", step=STEP)
+    if status == UNAVAILABLE_STATUS:
+        return OverloadedError(message, step=STEP)
     return InvalidCallError(message, step=STEP)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,6 +24,7 @@
     "_s": "s",
     "_ms": "ms",
     "_bytes": "bytes",
+    "_mb": "MB",
     "_share": "share",
 }
 
