--- a/dotterelpier/clients/backends.py
+++ b/dotterelpier/clients/backends.py
@@ -7,12 +7,11 @@
 
 from attrs import define, field
 
-from dotterelpier.clients.connections import (
-    ConnectionPool,
+from dotterelpier.clients.connections import ConnectionPool, make_connection_pool
+from dotterelpier.clients.exchanges import (
     HttpAnswer,
     HttpRequest,
     PooledExchange,
-    make_connection_pool,
 )
 from dotterelpier.clients.http_connection import open_connection, shut_down
 from dotterelpier.errors import (
--- a/dotterelpier/clients/instances.py
+++ b/dotterelpier/clients/instances.py
@@ -8,13 +8,12 @@
 
 from attrs import define, evolve, field
 
-from dotterelpier.clients.connections import (
-    ConnectionPool,
+from dotterelpier.clients.connections import ConnectionPool, make_connection_pool
+from dotterelpier.clients.exchanges import (
     ConnectionRules,
     HttpAnswer,
     HttpRequest,
     PooledExchange,
-    make_connection_pool,
 )
 from dotterelpier.clients.http_connection import (
     ClientConnection,
--- a/dotterelpier/clients/relays.py
+++ b/dotterelpier/clients/relays.py
@@ -4,12 +4,11 @@
 
 from attrs import define
 
-from dotterelpier.clients.connections import (
-    ConnectionPool,
+from dotterelpier.clients.connections import ConnectionPool, make_connection_pool
+from dotterelpier.clients.exchanges import (
     HttpAnswer,
     HttpRequest,
     PooledExchange,
-    make_connection_pool,
 )
 from dotterelpier.errors import AnswerLostError, AnswerMismatchError, RefusedError
 from dotterelpier.kernel import Kernel
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from dotterelpier.clients import connections
+from dotterelpier.clients import pooled_connection
 from dotterelpier.clients.backends import make_backends
+from dotterelpier.clients.exchanges import HttpRequest, PooledExchange
 from dotterelpier.clients.relays import make_relays
 from dotterelpier.errors import (
     AnswerLostError,
@@ -101,17 +102,17 @@
     received = []
     server = ScriptedServer(lambda request: received.append(request) or [b""])
     opened, aborted = threading.Event(), threading.Event()
-    open_now = connections.open_connection
+    open_now = pooled_connection.open_connection
 
     def open_slowly(*arguments):
         opened.set()
         aborted.wait(ANSWER_WAIT_S)
         return open_now(*arguments)
 
-    monkeypatch.setattr(connections, "open_connection", open_slowly)
+    monkeypatch.setattr(pooled_connection, "open_connection", open_slowly)
     pool = backends._pool
-    request = connections.HttpRequest("GET", "/x", {"Host": server.address})
-    exchange = connections.PooledExchange(
+    request = HttpRequest("GET", "/x", {"Host": server.address})
+    exchange = PooledExchange(
         request, time.monotonic() + 5.0, 1024, decode=lambda answer: answer
     )
     pool.send(server.address, exchange, fresh=True)
