--- a/dotterelpier/fleet/liveness.py
+++ b/dotterelpier/fleet/liveness.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from dotterelpier.errors import PeerUnavailableError
-from dotterelpier.fleet.ranking import rank
+from dotterelpier.fleet.ranking import weight
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.protocols import ServiceName, TaskKind, Tasks
@@ -21,6 +21,8 @@
 # timeouts, this takes less than the time after which clients must no longer be sent to
 # it.
 MISSED_PINGS_LIMIT = 3
+# Must not change, so that entries of all releases form the same ring.
+RING_KEY = "monitors"
 
 
 @define(eq=False)
@@ -64,7 +66,7 @@
 class FleetLiveness:
     """Starts and ends the ping tasks as entries join and leave.
 
-    Each entry is pinged by the few that rank first for its name, so the number of pings
+    Each entry is pinged by the few that follow it in a ring, so the number of pings
     grows linearly with the size of the fleet, not with its square.
     """
 
@@ -109,26 +111,37 @@
     def _monitored_members(self) -> list[FleetMember]:
         members = self._fleet.members()
         me = self._fleet.me().name
-        return [
-            member
-            for member in members
-            if member.name != me and me in monitors_of(member, members)
-        ]
+        monitors_by_name = find_monitors(members)
+        return [member for member in members if me in monitors_by_name[member.name]]
 
 
-def monitors_of(member: FleetMember, members: tuple[FleetMember, ...]) -> list[str]:
-    """Return the names of the entries that ping one, in different zones if possible.
+def find_monitors(members: tuple[FleetMember, ...]) -> dict[str, tuple[str, ...]]:
+    """Return the names of the entries that ping each entry, by its name.
 
-    If all of them failed together with it, its failure would be detected only after
-    theirs.
+    The entries form a ring, and the next ones in it ping an entry, in different zones
+    if possible. If all of them failed together with it, its failure would be detected
+    only after theirs.
     """
-    others = rank(member.name, (item for item in members if item.name != member.name))
-    first_by_zone: dict[str, FleetMember] = {}
-    for item in others:
-        first_by_zone.setdefault(item.zone, item)
-    firsts = list(first_by_zone.values())
-    rest = [item for item in others if item not in firsts]
-    return [item.name for item in (*firsts, *rest)[:MONITORS_PER_ENTRY]]
+    ring = sorted(members, key=lambda member: weight(RING_KEY, member.name))
+    zones = {member.zone for member in members}
+    return {
+        member.name: _first_in_zones(ring[position + 1 :] + ring[:position], zones)
+        for position, member in enumerate(ring)
+    }
+
+
+def _first_in_zones(others: list[FleetMember], zones: set[str]) -> tuple[str, ...]:
+    """Return the first entries of different zones, then the first of the others."""
+    firsts: list[str] = []
+    rest: list[str] = []
+    seen: set[str] = set()
+    for other in others:
+        (rest if other.zone in seen else firsts).append(other.name)
+        seen.add(other.zone)
+        all_zones_seen = seen == zones and len(firsts) + len(rest) >= MONITORS_PER_ENTRY
+        if len(firsts) == MONITORS_PER_ENTRY or all_zones_seen:
+            break
+    return tuple((*firsts, *rest)[:MONITORS_PER_ENTRY])
 
 
 def make_liveness(kernel: Kernel) -> FleetLiveness:
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -53,6 +53,10 @@
 PEER_RESULT_FRESH_S = 0.7
 # Backend servers close connections that are idle for longer.
 KEPT_CONNECTION_INTERVAL_S = 9.0
+# Entries that start together register within about this time.
+FIRST_START_DELAY_S = 2.0
+# Checks that each need a new connection, which takes time of the backend server.
+NEW_CONNECTION_INTERVAL_S = 30.0
 # Checks of other homes' backend servers that may run at once; each has a thread.
 MAX_CONCURRENT_CHECKS = 12
 
@@ -169,6 +173,7 @@
     _instances: Instances
     _measurements: Measurements
     _settings: LiveSettings
+    _first_start: bool
     _checks: HealthChecks
     _probe_by_id: dict[str, HomeProbe] = field(factory=dict)
     _plan_by_id: Mapping[str, CheckPlan] = field(factory=dict)
@@ -179,7 +184,17 @@
     _lock: threading.Lock = field(factory=threading.Lock)
 
     def start(self) -> None:
-        """Start the tasks, and follow changes of the subset."""
+        """Start the tasks, and follow changes of the subset.
+
+        When the whole fleet starts for the first time, the tasks start later: until the
+        other entries are known, this one would take itself for the home of all servers.
+        """
+        if self._first_start:
+            self._timer.after(FIRST_START_DELAY_S, self._begin)
+        else:
+            self._begin()
+
+    def _begin(self) -> None:
         self._subsets.subscribe(self.refresh)
         self.refresh()
         self._tasks.supervise(TaskKind.CONTROL, self._serve)
@@ -264,6 +279,8 @@
         rate = self._settings.bounds().probes_per_s * PROBE_SHARE / 2
         same_zone_s = max(SAME_ZONE_INTERVAL_S, zone_size / rate)
         other_zone_s = max(OTHER_ZONE_INTERVAL_S, (len(members) - zone_size) / rate)
+        if other_zone_s > KEPT_CONNECTION_INTERVAL_S:
+            other_zone_s = max(other_zone_s, NEW_CONNECTION_INTERVAL_S)
         plan_by_id = {}
         for ids in self._subsets.ids_by_service().values():
             for instance_id in ids:
@@ -369,8 +386,11 @@
     )
 
 
-def make_prober(kernel: Kernel) -> ZoneProber:
-    """Return the prober, not yet started; the settings limit the rate of its checks."""
+def make_prober(kernel: Kernel, *, first_start: bool = False) -> ZoneProber:
+    """Return the prober, not yet started; the settings limit the rate of its checks.
+
+    ``first_start`` tells whether the whole fleet starts for the first time.
+    """
     clock = kernel.find(ServiceName.CLOCK, Clock)
     metrics = kernel.find(ServiceName.METRICS, Metrics)
     routes = kernel.find(ServiceName.ROUTES, Routes)
@@ -388,5 +408,6 @@
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.MEASUREMENTS, Measurements),
         kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
+        first_start,
         HealthChecks(clock, metrics, routes, conditions),
     )
--- a/dotterelpier/fleet/subsets.py
+++ b/dotterelpier/fleet/subsets.py
@@ -6,6 +6,7 @@
 position on. An entry that joins or leaves moves the positions by one server at most.
 """
 
+import threading
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
@@ -50,6 +51,33 @@
         return frozenset(ids)
 
 
+@define
+class HomeTable:
+    """Homes of backend servers, kept until the entries to choose from change.
+
+    Ranking all servers at each change of one would cost more than all other work on it.
+    """
+
+    _members: list[FleetMember] = field(factory=list)
+    _home_by_id: dict[str, FleetMember | None] = field(factory=dict)
+
+    def set_members(self, members: list[FleetMember]) -> None:
+        """Set the entries to choose from."""
+        if members != self._members:
+            self._members, self._home_by_id = members, {}
+
+    def home(self, instance_id: str) -> FleetMember | None:
+        """Return the home of a backend server, None without entries."""
+        if instance_id not in self._home_by_id:
+            self._home_by_id[instance_id] = first(instance_id, self._members)
+        return self._home_by_id[instance_id]
+
+    def keep(self, instance_ids: Iterable[str]) -> None:
+        """Forget all other backend servers."""
+        for instance_id in self._home_by_id.keys() - set(instance_ids):
+            del self._home_by_id[instance_id]
+
+
 @define
 class ZoneSubsets:
     """Keeps the subset of this entry in line with the registry and the fleet."""
@@ -58,6 +86,8 @@
     _fleet: Fleet
     _metrics: Metrics
     _subset: Subset = Subset()
+    _homes: HomeTable = field(factory=HomeTable)
+    _lock: threading.Lock = field(factory=threading.Lock)
     _listeners: list[Callable[[], None]] = field(factory=list)
 
     def start(self) -> None:
@@ -71,10 +101,14 @@
 
     def refresh(self) -> None:
         """Compute the subset, and call the listeners."""
-        before = self._subset
-        self._subset = compute_subset(
-            self._fleet.me(), self._fleet.members(), self._registry.instances()
-        )
+        with self._lock:
+            before = self._subset
+            self._subset = compute_subset(
+                self._fleet.me(),
+                self._fleet.members(),
+                self._registry.instances(),
+                self._homes,
+            )
         self._metrics.set_gauge("homes", len(self._subset.home_ids))
         if before.home_ids != self._subset.home_ids:
             logger.info(
@@ -107,6 +141,7 @@
     me: FleetMember,
     members: tuple[FleetMember, ...],
     instances: Iterable[Instance],
+    homes: HomeTable | None = None,
 ) -> Subset:
     """Return the subset of an entry.
 
@@ -120,7 +155,10 @@
         All entries.
     instances : iterable of Instance
         All backend servers.
+    homes : HomeTable, optional
+        What is known of the homes in the zone from an earlier call.
     """
+    homes = homes or HomeTable()
     own_zone: dict[str, list[Instance]] = {}
     other_zones: dict[str, list[Instance]] = {}
     member_zones = {member.zone for member in members}
@@ -131,6 +169,8 @@
         (item for item in members if item.zone == me.zone),
         key=lambda item: weight("subset", item.name),
     )
+    homes.set_members(zone_members)
+    homes.keep(item.id for items in own_zone.values() for item in items)
     ids_by_service: dict[str, set[str]] = {}
     home_ids: set[str] = set()
     listeners_by_id: dict[str, tuple[FleetMember, ...]] = {}
@@ -138,23 +178,23 @@
         items.sort(key=lambda item: weight("subset", item.id))
         ids = ids_by_service.setdefault(service, set())
         ids.update(_slice(items, zone_members, me))
-        homes = [item.id for item in items if first(item.id, zone_members) == me]
-        home_ids.update(homes)
-        ids.update(homes)
-        if homes:
-            listeners_by_id.update(_listeners(homes, items, zone_members, me))
+        own_ids = [item.id for item in items if homes.home(item.id) == me]
+        home_ids.update(own_ids)
+        ids.update(own_ids)
+        if own_ids:
+            listeners_by_id.update(_listeners(own_ids, items, zone_members, me))
     for service, items in other_zones.items():
         ids = ids_by_service.setdefault(service, set())
         items.sort(key=lambda item: weight(me.name, item.id))
         ids.update(item.id for item in items[:OTHER_ZONES_SIZE])
         # A zone without entries has its homes elsewhere.
-        homes = [
+        own_ids = [
             item.id
             for item in items
             if item.zone not in member_zones and first(item.id, members) == me
         ]
-        home_ids.update(homes)
-        ids.update(homes)
+        home_ids.update(own_ids)
+        ids.update(own_ids)
     return Subset(
         {service: tuple(sorted(ids)) for service, ids in ids_by_service.items()},
         frozenset(home_ids),
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -157,7 +157,7 @@
     kernel.register(ServiceName.CONDITIONS, make_conditions(kernel), dependencies)
     dependencies = (ServiceName.CONDITIONS, ServiceName.DATAGRAMS)
     kernel.register(ServiceName.MEASUREMENTS, make_measurements(kernel), dependencies)
-    prober = make_prober(kernel)
+    prober = make_prober(kernel, first_start=settings.entry.first_start)
     dependencies = (ServiceName.MEASUREMENTS, ServiceName.INSTANCES)
     kernel.register(ServiceName.PROBER, prober, dependencies)
     kernel.register(ServiceName.LIVENESS, make_liveness(kernel), (ServiceName.FLEET,))
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -7,7 +7,8 @@
 
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet import liveness
-from dotterelpier.fleet.liveness import FleetLiveness, PeerMonitor, monitors_of
+from dotterelpier.fleet.liveness import FleetLiveness, PeerMonitor, find_monitors
+from dotterelpier.fleet.ranking import weight
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
@@ -138,11 +139,25 @@
     members = tuple(member(number, "abc"[number % 3]) for number in range(15))
     zone_by_name = {item.name: item.zone for item in members}
     times_as_monitor = Counter[str]()
+    monitors_by_name = find_monitors(members)
     for item in members:
-        monitors = monitors_of(item, members)
+        monitors = monitors_by_name[item.name]
         assert {zone_by_name[name] for name in monitors} == set("abc")
         assert item.name not in monitors
         times_as_monitor.update(monitors)
     assert max(times_as_monitor.values()) <= 9
-    only_monitor = monitors_of(members[0], members[:2])
-    assert only_monitor == ["e-1"]
+    assert find_monitors(members[:2]) == {"e-0": ("e-1",), "e-1": ("e-0",)}
+
+
+def test_finding_the_monitors_hashes_each_member_once(monkeypatch) -> None:
+    """All entries do it at each change of the fleet, so its cost must stay linear."""
+    hashed = []
+
+    def count(key: str, name: str) -> bytes:
+        hashed.append(name)
+        return weight(key, name)
+
+    monkeypatch.setattr(liveness, "weight", count)
+    members = tuple(member(number, "abcde"[number % 5]) for number in range(300))
+    find_monitors(members)
+    assert sorted(hashed) == sorted(item.name for item in members)
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -54,6 +54,9 @@
 
     instances: tuple[Instance, ...]
 
+    def subscribe(self, listener: Any) -> None:
+        """Do nothing; each test calls ``refresh`` itself."""
+
     def ids_by_service(self) -> dict[str, tuple[str, ...]]:
         return {"shop": tuple(item.id for item in self.instances)}
 
@@ -74,6 +77,16 @@
         self.started.append("home task")
 
 
+class LaterCalls:
+    """Fake timer that keeps what it should call later."""
+
+    def __init__(self) -> None:
+        self.calls = []
+
+    def after(self, delay_s: float, call: Any) -> None:
+        self.calls.append(call)
+
+
 class HealthConnections:
     """Fake client of which no connection is used."""
 
@@ -96,6 +109,7 @@
         HealthConnections(),
         NOTHING,
         FixedSettings(),
+        False,
         NOTHING,
     )
     prober.refresh()
@@ -127,6 +141,19 @@
     assert tasks.started == []
 
 
+@pytest.mark.parametrize("first_start", [True, False])
+def test_first_start_waits_until_the_other_entries_are_known(first_start) -> None:
+    """Until then an entry takes itself for the home of all servers of its zone."""
+    prober, _, tasks, _ = prober_of(SAME_ZONE)
+    prober._timer, prober._first_start = LaterCalls(), first_start
+    tasks.started.clear()
+    prober.start()
+    assert bool(tasks.started) != first_start
+    for call in prober._timer.calls:
+        call()
+    assert tasks.started
+
+
 def test_server_with_fresh_results_of_its_home_is_not_checked() -> None:
     prober, clock, tasks, conditions = prober_of(SAME_ZONE)
     conditions.verified_ids.add("same")
@@ -148,6 +175,17 @@
     assert count == 3
 
 
+@pytest.mark.parametrize(
+    ("distant", "interval_s"), [(30, OTHER_ZONE_INTERVAL_S), (250, 30.0)]
+)
+def test_checks_are_rare_where_each_needs_a_new_connection(distant, interval_s) -> None:
+    prober, _, _, _ = prober_of(OTHER_ZONE)
+    elsewhere = (member(f"b-{number}", "b") for number in range(distant))
+    prober._fleet.known = (member("e-1"), *elsewhere)
+    prober.refresh()
+    assert prober._plan_by_id["other"].interval_s == interval_s
+
+
 def test_other_zone_is_checked_often_only_while_the_own_one_lacks_room() -> None:
     prober, clock, tasks, conditions = prober_of(OTHER_ZONE)
     conditions.verified_ids.add("other")
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -9,6 +9,7 @@
 from dotterelpier.fleet.subsets import (
     OTHER_ZONES_SIZE,
     OWN_ZONE_SIZE,
+    HomeTable,
     Subset,
     compute_subset,
 )
@@ -133,3 +134,21 @@
     instances = instances_of(4, ZONES[:3])
     for subset in subsets_of(members, instances).values():
         assert len(subset.ids()) == len(instances)
+
+
+@given(
+    st.lists(
+        st.tuples(st.sets(st.integers(0, 11), min_size=1), st.sets(st.integers(0, 30))),
+        min_size=1,
+        max_size=6,
+    )
+)
+def test_homes_kept_between_changes_are_those_of_a_new_computation(steps) -> None:
+    every_member = members_of(12, ZONES[:2])
+    every_instance = instances_of(31, ZONES[:2], SERVICES[:1])
+    me, homes = every_member[0], HomeTable()
+    for entries, servers in steps:
+        members = (me, *(every_member[number + 1] for number in sorted(entries)))
+        instances = [every_instance[number] for number in sorted(servers)]
+        kept = compute_subset(me, members, instances, homes)
+        assert kept == compute_subset(me, members, instances)
