--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -13,7 +13,8 @@
 
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet.mirror import TableMirror
-from dotterelpier.fleet.ranking import rank
+from dotterelpier.fleet.publishers import publisher_names
+from dotterelpier.fleet.seeds import SeedQueries, make_seed_queries
 from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import (
@@ -35,6 +36,7 @@
 
 STEP = "mirrors"
 ANNOUNCE_INTERVAL_S = 0.25
+SEED_RETRY_S = 0.2
 # A publisher's tables count as current for this long after the store answered it, as a
 # share of the time within which a change must be in force. It is longer than the
 # publisher's shortest watch plus one lost announcement.
@@ -43,19 +45,9 @@
 # within it plus the timeout margin of a watch; a watch that starts during an outage
 # ends within it after the recovery.
 STORE_PROBE_WAIT_SHARE = 0.35
-# How long an entry asks the seeds before it reads the store itself, when the fleet
-# starts for the first time, and later, when clients are already waiting for it.
-SEED_WAIT_S = 1.5
-RESTART_SEED_WAIT_S = 0.25
-SEED_RETRY_S = 0.2
 # In large fleets entries of other zones have a publisher of their own, so each hears of
 # this one by every few announcements.
 DISTANT_RECEIVERS = 64
-# Another publisher must be known when one is lost.
-MIN_PUBLISHERS = 2
-# The calls of a publisher to the store cost about as much as the traffic between zones
-# that it saves to this many entries.
-ENTRIES_PER_PUBLISHER = 32
 
 
 @frozen
@@ -77,16 +69,13 @@
     _datagrams: Datagrams
     _peers: FleetPeers
     _settings: LiveSettings
-    _own_address: str
-    _seeds: tuple[str, ...]
-    _first_start: bool
+    _seeds: SeedQueries
     _mirror_by_table: dict[str, TableMirror] = field(factory=dict)
     _received_by_sender: dict[str, ReceivedAnnouncement] = field(factory=dict)
     _store_answered_at: float = float("-inf")
     _is_publisher: bool = True
     _had_other_publisher: bool = False
     _next_distant: int = 0
-    _seeds_until: float = float("-inf")
     _announce_now: threading.Event = field(factory=threading.Event)
     _stopped: bool = False
     _changed: threading.Condition = field(factory=threading.Condition)
@@ -94,9 +83,7 @@
     def start(self) -> None:
         """Listen for announcements, and start the task that sends them."""
         self._datagrams.subscribe(DatagramKind.ANNOUNCEMENT, self._receive)
-        if self._seeds and self._own_address not in self._seeds:
-            wait_s = SEED_WAIT_S if self._first_start else RESTART_SEED_WAIT_S
-            self._seeds_until = self._clock.monotonic() + wait_s
+        if self._seeds.begin():
             self._tasks.supervise(TaskKind.CONTROL, self._ask_seeds)
         self._fleet().subscribe(self._update_role)
         self._update_role()
@@ -120,7 +107,7 @@
 
     def seed_wait_s(self) -> float:
         """Return for how much longer the seeds are asked, in seconds."""
-        return max(0.0, self._seeds_until - self._clock.monotonic())
+        return self._seeds.remaining_s()
 
     def wait_for_seed(self) -> bool:
         """Block while the seeds are asked; return whether a publisher is known."""
@@ -366,40 +353,18 @@
         return near + part
 
     def _ask_seeds(self) -> None:
-        """Ask the seeds in turn until a publisher is known, and its tables with it."""
-        own = self._fleet().me()
-        order = rank(own.name, [_seed_member(item) for item in self._seeds])
+        """Ask the seeds until the publishers know this entry, or the time is over."""
         pause = threading.Event()
-        # Seeds that do not answer an entry that restarts have probably restarted too.
-        while not self._stopped and self._ask_each(order):
+        while not self._stopped and self._seeds.ask_each(self._note_seed):
             pause.wait(SEED_RETRY_S)
         with self._changed:
-            self._seeds_until = float("-inf")
+            self._seeds.end()
             self._changed.notify_all()
         self._update_role()
 
-    def _ask_each(self, seeds: list[FleetMember]) -> bool:
-        """Ask each seed once; return whether to ask them again."""
-        answered = False
-        for seed in seeds:
-            if not self.seed_wait_s():
-                return False
-            try:
-                self._note(seed, self._peers.announcement(seed))
-            except PeerUnavailableError as error:
-                logger.info(
-                    "seed has no current tables; asking the next",
-                    peer=seed.peer_address,
-                    error=error.message,
-                )
-                continue
-            answered = True
-            # Its announcements arrive once it knows this entry.
-            self._seeds_until = self._clock.monotonic() + SEED_WAIT_S
-            if self._hears_members():
-                return False
-            break
-        return answered or self._first_start
+    def _note_seed(self, seed: FleetMember, announcement: Announcement) -> bool:
+        self._note(seed, announcement)
+        return self._hears_members()
 
     def _hears_members(self) -> bool:
         """Return whether another entry of the fleet announces the tables itself."""
@@ -426,35 +391,11 @@
             )
 
 
-def publisher_names(members: tuple[FleetMember, ...]) -> frozenset[str]:
-    """Return the names of the entries that watch the store for the others.
-
-    They are in different zones if there are enough.
-    """
-    # The ranking keys must not change, so that entries of all releases choose alike.
-    zones = {member.zone for member in members}
-    first_of_zones = [
-        rank(f"keeper {zone}", [item for item in members if item.zone == zone])[0]
-        for zone in zones
-    ]
-    wanted = max(MIN_PUBLISHERS, len(members) // ENTRIES_PER_PUBLISHER)
-    names = {item.name for item in rank("keeper", first_of_zones)[:wanted]}
-    for member in rank("keeper", members):
-        if len(names) < MIN_PUBLISHERS:
-            names.add(member.name)
-    return frozenset(names)
-
-
 def _newest_change(received: ReceivedAnnouncement, table: str) -> int:
     versions = received.versions_by_table.get(table)
     return -1 if versions is None or versions.complete_to < 0 else versions.changed
 
 
-def _seed_member(address: str) -> FleetMember:
-    """Return a member for a seed, of which only the address is known."""
-    return FleetMember(f"seed {address}", "", "", address, "")
-
-
 def make_mirrors(kernel: Kernel, settings: FleetSettings) -> Mirrors:
     """Return the service with empty copies of the store's tables."""
     return PeerMirrors(
@@ -464,7 +405,5 @@
         kernel.find(ServiceName.DATAGRAMS, Datagrams),
         kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
         kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
-        settings.entry.peer_address,
-        settings.peers.seeds,
-        settings.entry.first_start,
+        make_seed_queries(kernel, settings.entry, settings.peers.seeds),
     )
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -16,12 +16,9 @@
 
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet.mirror import TableMirror
-from dotterelpier.fleet.mirrors import (
-    SEED_WAIT_S,
-    STALENESS_SHARE,
-    make_mirrors,
-    publisher_names,
-)
+from dotterelpier.fleet.mirrors import STALENESS_SHARE, make_mirrors
+from dotterelpier.fleet.publishers import publisher_names
+from dotterelpier.fleet.seeds import SEED_WAIT_S
 from dotterelpier.fleet_settings import (
     FleetEntrySettings,
     FleetSettings,
