Publishers do not wait for each other, and announce only tables that they watch

Once the store answered its probe it announced all tables, so all entries waited for its copy of the registrations, and it waited for theirs, from second 12.0 to 15.5.

A new publisher stops waiting. Tables are announced, and looked for, one by one.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -127,8 +127,11 @@
     def _next_reply(self) -> StoreReply:
         reads_from_peers, self._read_store_next = self._reads_from_peers(), False
         if reads_from_peers:
+            self._mirrors.note_unwatched(self.table)
             after = -1 if self._cursor is None else self._cursor
-            return self._mirrors.watch(self.table, after, WATCH_WAIT_S)
+            backoff_s = self._store_backoff_until - self._clock.monotonic()
+            wait_s = backoff_s if backoff_s > 0 else WATCH_WAIT_S
+            return self._mirrors.watch(self.table, after, wait_s)
         if self._cursor is None:
             reply = self._store.read(self.table)
         else:
@@ -143,12 +146,12 @@
         if self._read_store_next:
             return False
         if self._cursor is None:
-            return self._mirrors.wait_for_seed()
+            return self._mirrors.wait_for_seed(self.table)
         if self._mirrors.is_publisher():
             backing_off = self._clock.monotonic() < self._store_backoff_until
-            return backing_off and self._mirrors.has_other_publisher()
+            return backing_off and self._mirrors.has_other_publisher(self.table)
         wait_s = max(ANNOUNCEMENT_WAIT_S, self._mirrors.seed_wait_s())
-        return self._mirrors.wait_for_other_publisher(wait_s)
+        return self._mirrors.wait_for_other_publisher(self.table, wait_s)
 
     def _back_off(self, error: PlatformError) -> None:
         logger.info(
@@ -158,11 +161,12 @@
             error=str(error),
         )
         self._store_backoff_until = self._clock.monotonic() + STORE_BACKOFF_S
-        if self._mirrors.has_other_publisher():
+        self._mirrors.note_unwatched(self.table)
+        if self._mirrors.has_other_publisher(self.table):
             return
         if self.is_store_probe:
             self._link.record_failure(error)
-            self._mirrors.wait_for_other_publisher(STORE_PROBE_RETRY_S)
+            self._mirrors.wait_for_other_publisher(self.table, STORE_PROBE_RETRY_S)
         elif self._link.is_reachable():
             self._stopped.wait(RECONNECT_DELAY_S)
         else:
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -7,6 +7,7 @@
 """
 
 import threading
+from collections.abc import Set
 
 from attrs import define, field, frozen
 from loguru import logger
@@ -72,6 +73,8 @@
     _seeds: SeedQueries
     _mirror_by_table: dict[str, TableMirror] = field(factory=dict)
     _received_by_sender: dict[str, ReceivedAnnouncement] = field(factory=dict)
+    # Tables whose changes the store tells this entry at once.
+    _watched_tables: set[str] = field(factory=set)
     _store_answered_at: float = float("-inf")
     _is_publisher: bool = True
     _had_other_publisher: bool = False
@@ -109,14 +112,14 @@
         """Return for how much longer the seeds are asked, in seconds."""
         return self._seeds.remaining_s()
 
-    def wait_for_seed(self) -> bool:
-        """Block while the seeds are asked; return whether a publisher is known."""
+    def wait_for_seed(self, table: str) -> bool:
+        """Block while the seeds are asked; return whether one announces a table."""
         with self._changed:
             self._changed.wait_for(
-                lambda: self._fresh_announcements() or not self.seed_wait_s(),
+                lambda: self._fresh_announcements(table) or not self.seed_wait_s(),
                 self.seed_wait_s(),
             )
-            return bool(self._fresh_announcements())
+            return bool(self._fresh_announcements(table))
 
     def announcement(self) -> Announcement:
         """Return the versions of the copies held here, publisher or not.
@@ -127,18 +130,20 @@
             If the copies may be outdated.
         """
         with self._changed:
-            answered_at = [
-                item.store_answered_at
-                for item in self._fresh_announcements()
-                if self._is_caught_up(item)
+            caught_up = [
+                item for item in self._fresh_announcements() if self._is_caught_up(item)
             ]
+            answered_at = [item.store_answered_at for item in caught_up]
             current_at = max((self._store_answered_at, *answered_at))
+            tables = self._watched_tables.union(
+                *(item.versions_by_table for item in caught_up)
+            )
         store_age_s = self._clock.monotonic() - current_at
         if store_age_s >= self._max_staleness_s():
             message = "copies of the tables may be outdated"
             name = self._fleet().me().name
             raise PeerUnavailableError(message, step=STEP, peer=name)
-        return self._make_announcement(store_age_s)
+        return self._make_announcement(store_age_s, tables)
 
     def _is_caught_up(self, received: ReceivedAnnouncement) -> bool:
         """Return whether the copies hold all changes that were announced."""
@@ -147,10 +152,10 @@
             for table, versions in received.versions_by_table.items()
         )
 
-    def has_other_publisher(self) -> bool:
-        """Return whether a fresh announcement of another entry is known."""
+    def has_other_publisher(self, table: str) -> bool:
+        """Return whether a fresh announcement of a table by another entry is known."""
         with self._changed:
-            return bool(self._fresh_announcements())
+            return bool(self._fresh_announcements(table))
 
     def apply_reply(
         self, table: str, reply: StoreReply, *, is_store_probe: bool
@@ -164,9 +169,15 @@
             if is_store_probe:
                 self._store_answered_at = self._clock.monotonic()
             self._mirror(table).apply_reply(reply)
+            self._watched_tables.add(table)
         if reply.rows:
             self._announce_now.set()
 
+    def note_unwatched(self, table: str) -> None:
+        """Announce a table no more until the store answers a call for it again."""
+        with self._changed:
+            self._watched_tables.discard(table)
+
     def changes(self, table: str, after: int) -> StoreReply:
         """Return the changes of a table after a version from the copy held here."""
         with self._changed:
@@ -177,13 +188,13 @@
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
         """Return the changes of a table after a version from a publisher.
 
-        Block for up to ``wait_s`` seconds until there is one; the reply is empty if
-        nothing changed.
+        Block for up to ``wait_s`` seconds until there is one, or until this entry
+        becomes a publisher; the reply is empty if nothing changed.
 
         Raises
         ------
         PeerUnavailableError
-            If no other entry announces the tables, or the publisher does not answer.
+            If no other entry announces the table, or the publisher does not answer.
         """
         until = self._clock.monotonic() + wait_s
         while True:
@@ -213,19 +224,24 @@
     def _wait_for_newer(
         self, table: str, after: int, until: float
     ) -> ReceivedAnnouncement | None:
-        """Return the announcement of a newer change, None if the wait times out."""
+        """Return the announcement of a newer change, None if there is none in time.
+
+        The wait ends early when this entry becomes a publisher. Otherwise publishers
+        could wait for each other.
+        """
+        was_publisher = self._is_publisher
         with self._changed:
             while True:
-                fresh = self._fresh_announcements()
+                fresh = self._fresh_announcements(table)
                 if not fresh:
                     raise PeerUnavailableError(
-                        "no other entry announces the tables", step=STEP, peer=table
+                        "no other entry announces the table", step=STEP, peer=table
                     )
                 ahead = [item for item in fresh if _newest_change(item, table) > after]
                 if ahead:
                     return self._nearest(ahead)
                 now = self._clock.monotonic()
-                if now >= until:
+                if now >= until or self._is_publisher > was_publisher:
                     return None
                 stale_at = (
                     max(item.store_answered_at for item in fresh)
@@ -233,27 +249,31 @@
                 )
                 self._changed.wait(max(0.0, min(until, stale_at) - now))
 
-    def wait_for_other_publisher(self, timeout_s: float) -> bool:
-        """Block until another entry announces the tables; return False on timeout."""
+    def wait_for_other_publisher(self, table: str, timeout_s: float) -> bool:
+        """Block until another entry announces a table; return False on timeout."""
         with self._changed:
             return self._changed.wait_for(
-                lambda: bool(self._fresh_announcements()), timeout_s
+                lambda: bool(self._fresh_announcements(table)), timeout_s
             )
 
     def _complete_to(self, table: str, after: int) -> int:
         with self._changed:
             known = [
                 item.versions_by_table[table].complete_to
-                for item in self._fresh_announcements()
-                if table in item.versions_by_table
-                and _newest_change(item, table) <= after
+                for item in self._fresh_announcements(table)
+                if _newest_change(item, table) <= after
             ]
         return max((after, *known))
 
-    def _fresh_announcements(self) -> list[ReceivedAnnouncement]:
+    def _fresh_announcements(self, table: str = "") -> list[ReceivedAnnouncement]:
+        """Return the fresh announcements, only those of a table if one is given."""
         oldest = self._clock.monotonic() - self._max_staleness_s()
-        received = self._received_by_sender.values()
-        return [item for item in received if item.store_answered_at > oldest]
+        return [
+            item
+            for item in self._received_by_sender.values()
+            if item.store_answered_at > oldest
+            and (not table or table in item.versions_by_table)
+        ]
 
     def _nearest(self, received: list[ReceivedAnnouncement]) -> ReceivedAnnouncement:
         zone = self._fleet().me().zone
@@ -294,7 +314,9 @@
                 if chosen
                 else "no longer publishing the store's tables"
             )
-        self._is_publisher = chosen
+        with self._changed:
+            self._is_publisher = chosen
+            self._changed.notify_all()
 
     def _receive(self, content: bytes) -> None:
         announcement = decode_announcement(content)
@@ -327,17 +349,20 @@
 
     def _announce(self, store_age_s: float) -> None:
         fleet = self._fleet()
-        content = encode_announcement(self._make_announcement(store_age_s))
+        with self._changed:
+            tables = frozenset(self._watched_tables)
+        content = encode_announcement(self._make_announcement(store_age_s, tables))
         for member in self._receivers(fleet.me(), fleet.members()):
             self._datagrams.send(
                 member.peer_address, DatagramKind.ANNOUNCEMENT, content
             )
 
-    def _make_announcement(self, store_age_s: float) -> Announcement:
+    def _make_announcement(self, store_age_s: float, tables: Set[str]) -> Announcement:
         with self._changed:
-            versions = [item.versions() for item in self._mirror_by_table.values()]
-        tables = tuple(item for item in versions if item.complete_to >= 0)
-        return Announcement(self._fleet().me().name, tables, store_age_s)
+            mirrors = self._mirror_by_table.items()
+            versions = [item.versions() for table, item in mirrors if table in tables]
+        known = tuple(item for item in versions if item.complete_to >= 0)
+        return Announcement(self._fleet().me().name, known, store_age_s)
 
     def _receivers(
         self, me: FleetMember, members: tuple[FleetMember, ...]
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -24,8 +24,8 @@
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
         """Return the changes of a table after a version.
 
-        Block for up to ``wait_s`` seconds until there is one; the reply is empty if
-        nothing changed.
+        Block for up to ``wait_s`` seconds until there is one, or until this entry
+        becomes a publisher; the reply is empty if nothing changed.
 
         Raises
         ------
@@ -140,8 +140,8 @@
         """Return for how much longer the seeds are asked, in seconds."""
         ...
 
-    def wait_for_seed(self) -> bool:
-        """Block while the seeds are asked; return whether a publisher is known."""
+    def wait_for_seed(self, table: str) -> bool:
+        """Block while the seeds are asked; return whether one announces a table."""
         ...
 
     def announcement(self) -> Announcement:
@@ -154,12 +154,12 @@
         """
         ...
 
-    def has_other_publisher(self) -> bool:
-        """Return whether a fresh announcement of another entry is known."""
+    def has_other_publisher(self, table: str) -> bool:
+        """Return whether a fresh announcement of a table by another entry is known."""
         ...
 
-    def wait_for_other_publisher(self, timeout_s: float) -> bool:
-        """Block until another entry announces the tables; return False on timeout."""
+    def wait_for_other_publisher(self, table: str, timeout_s: float) -> bool:
+        """Block until another entry announces a table; return False on timeout."""
         ...
 
     def apply_reply(
@@ -168,6 +168,10 @@
         """Apply a store reply; replies to the store probe mark the copies as fresh."""
         ...
 
+    def note_unwatched(self, table: str) -> None:
+        """Announce a table no more until the store answers a call for it again."""
+        ...
+
     def changes(self, table: str, after: int) -> StoreReply:
         """Return the changes of a table after a version from the copy held here."""
         ...
@@ -175,8 +179,8 @@
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
         """Return the changes of a table after a version from a publisher.
 
-        Block for up to ``wait_s`` seconds until there is one; the reply is empty if
-        nothing changed.
+        Block for up to ``wait_s`` seconds until there is one, or until this entry
+        becomes a publisher; the reply is empty if nothing changed.
 
         Raises
         ------
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -290,15 +290,15 @@
         """Return 0: the entry has no seeds."""
         return 0.0
 
-    def wait_for_seed(self) -> bool:
+    def wait_for_seed(self, table: str) -> bool:
         """Return False: the entry has no seeds."""
         return False
 
-    def has_other_publisher(self) -> bool:
+    def has_other_publisher(self, table: str) -> bool:
         """Return False: no other entry announces the tables."""
         return False
 
-    def wait_for_other_publisher(self, timeout_s: float) -> bool:
+    def wait_for_other_publisher(self, table: str, timeout_s: float) -> bool:
         """Block for the whole timeout and return False: no other entry announces."""
         time.sleep(timeout_s)
         return False
@@ -308,6 +308,9 @@
     ) -> None:
         """Discard the reply: no other entry needs it."""
 
+    def note_unwatched(self, table: str) -> None:
+        """Do nothing: the only entry announces no table."""
+
 
 class FixedSettings:
     """Settings that do not change, with given limits."""
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -275,9 +275,10 @@
     with pytest.raises(PeerUnavailableError):
         harness.mirrors.watch("t", 0, 5.0)
     harness.announce(1)
-    assert harness.mirrors.has_other_publisher()
+    assert harness.mirrors.has_other_publisher("t")
     wait_until(
-        lambda: not harness.mirrors.has_other_publisher(), "the announcement is stale"
+        lambda: not harness.mirrors.has_other_publisher("t"),
+        "the announcement is stale",
     )
     with pytest.raises(PeerUnavailableError):
         harness.mirrors.watch("t", 1, 5.0)
@@ -286,9 +287,9 @@
 def test_publisher_without_fresh_store_replies_is_not_used(harness) -> None:
     """It may still announce, but does not know what changed since."""
     harness.announce(1, store_age_s=MAX_STALENESS_S + 0.1)
-    assert not harness.mirrors.has_other_publisher()
+    assert not harness.mirrors.has_other_publisher("t")
     harness.announce(1, store_age_s=MAX_STALENESS_S - 0.2)
-    assert harness.mirrors.has_other_publisher()
+    assert harness.mirrors.has_other_publisher("t")
     with pytest.raises(PeerUnavailableError):
         harness.mirrors.watch("t", 1, 30.0)
 
@@ -298,7 +299,7 @@
     harness.peers.unresponsive = True
     with pytest.raises(PeerUnavailableError):
         harness.mirrors.watch("t", 1, 5.0)
-    assert not harness.mirrors.has_other_publisher()
+    assert not harness.mirrors.has_other_publisher("t")
 
 
 def test_entry_that_is_no_publisher_does_not_announce(harness) -> None:
@@ -320,6 +321,51 @@
     wait_until(lambda: harness.datagrams.sent, "the tables are announced")
 
 
+def test_entry_that_becomes_a_publisher_stops_waiting_for_others(harness) -> None:
+    """It is the one that they wait for, so they would wait for each other."""
+    harness.announce(9, StoreRow("k", b"1", 7))
+    replies = []
+    waiting = threading.Thread(
+        target=lambda: replies.append(harness.mirrors.watch("t", 9, 3600.0)),
+        daemon=True,
+    )
+    waiting.start()
+    refreshed = threading.Event()
+
+    def keep_fresh() -> None:
+        while not refreshed.wait(0.2):
+            harness.announce(9, whole=False)
+
+    threading.Thread(target=keep_fresh, daemon=True).start()
+    harness.fleet.own = harness.fleet.publisher
+    harness.mirrors._update_role()
+    waiting.join(30.0)
+    refreshed.set()
+    assert replies == [StoreReply((), 9)]
+
+
+def test_publisher_announces_only_tables_that_it_watches(harness) -> None:
+    """One whose call for a table fails knows nothing new, though the store answers."""
+    harness.fleet.own = harness.fleet.publisher
+    harness.mirrors._update_role()
+    reply = StoreReply((StoreRow("k", b"1", 1),), 1, True)
+    harness.mirrors.apply_reply("op", reply, is_store_probe=True)
+    harness.mirrors.apply_reply("t", reply, is_store_probe=False)
+    tables = {item.table for item in harness.mirrors.announcement().tables}
+    assert tables == {"op", "t"}
+    harness.mirrors.note_unwatched("t")
+    tables = {item.table for item in harness.mirrors.announcement().tables}
+    assert tables == {"op"}
+
+
+def test_publisher_of_other_tables_is_not_waited_for(harness) -> None:
+    harness.announce(1)
+    assert harness.mirrors.has_other_publisher("t")
+    assert not harness.mirrors.has_other_publisher("u")
+    with pytest.raises(PeerUnavailableError):
+        harness.mirrors.watch("u", 1, 30.0)
+
+
 def test_current_copies_are_announced_on_request(harness) -> None:
     with pytest.raises(PeerUnavailableError, match="outdated"):
         harness.mirrors.announcement()
@@ -332,7 +378,8 @@
     assert announced.tables == (TableVersions("t", 7, 9),)
     assert announced.store_age_s < MAX_STALENESS_S
     wait_until(
-        lambda: not harness.mirrors.has_other_publisher(), "the announcement is stale"
+        lambda: not harness.mirrors.has_other_publisher("t"),
+        "the announcement is stale",
     )
     with pytest.raises(PeerUnavailableError, match="outdated"):
         harness.mirrors.announcement()
@@ -377,7 +424,7 @@
     mirrors_harness = MirrorsHarness(
         evolve(SETTINGS, entry=entry, peers=PeerSettings(seeds))
     )
-    assert not mirrors_harness.mirrors.wait_for_seed()
+    assert not mirrors_harness.mirrors.wait_for_seed("t")
     mirrors_harness.stop()
     asked = mirrors_harness.peers.asked
     assert set(asked) == set(seeds)
@@ -426,7 +473,7 @@
 
 def _roles_are_settled(systems) -> bool:
     publishers = [system for system in systems if _mirrors(system).is_publisher()]
-    announced = all(_mirrors(system).has_other_publisher() for system in systems)
+    announced = all(_mirrors(system).has_other_publisher("op") for system in systems)
     return len(publishers) == 2 and announced
 
 
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -154,7 +154,7 @@
     def __init__(self) -> None:
         self.reads = 0
 
-    def wait_for_seed(self) -> bool:
+    def wait_for_seed(self, table: str) -> bool:
         return True
 
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
