The waiting room forgets requests that left long ago

Their times were dropped only when a request found others ahead of it, so an entry in calm operation kept one for each request for good.

--- a/dotterelpier/fleet/waiting.py
+++ b/dotterelpier/fleet/waiting.py
@@ -46,11 +46,16 @@
     tickets: list[Ticket] = field(factory=list)
     sent_at: "deque[float]" = field(factory=deque)
 
+    def note_sent(self, now: float) -> None:
+        """Count a request that left; forget those before ``RATE_WINDOW_S``."""
+        self.sent_at.append(now)
+        while self.sent_at[0] < now - RATE_WINDOW_S:
+            self.sent_at.popleft()
+
     def sent_per_s(self, now: float) -> float:
         """Return the rate of requests sent within the last ``RATE_WINDOW_S``."""
-        while self.sent_at and self.sent_at[0] < now - RATE_WINDOW_S:
-            self.sent_at.popleft()
-        return len(self.sent_at) / RATE_WINDOW_S
+        since = now - RATE_WINDOW_S
+        return sum(at >= since for at in self.sent_at) / RATE_WINDOW_S
 
     def ahead_of(self, ticket: Ticket) -> int:
         """Return the number of requests whose turn comes earlier."""
@@ -109,7 +114,7 @@
             queue = self._queue_by_service[ticket.service]
             queue.tickets = [item for item in queue.tickets if item is not ticket]
             if sent:
-                queue.sent_at.append(self._clock.monotonic())
+                queue.note_sent(self._clock.monotonic())
 
     def refusal(self, ticket: Ticket, reason: str) -> OverloadedError:
         """Return the error for a request that was not sent, with the time to retry."""
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dotterelpier.errors import OverloadedError
-from dotterelpier.fleet.waiting import MIN_RETRY_AFTER_S, FairWaitingRoom
+from dotterelpier.fleet.waiting import MIN_RETRY_AFTER_S, RATE_WINDOW_S, FairWaitingRoom
 from tests.fakes import ManualClock
 from tests.load_model import SLOTS, LoadModel, make_route
 from tests.test_fleet_decisions import Fleet, NoMetrics, member
@@ -50,6 +50,18 @@
         assert room.is_next(room.enter(service, NORMAL, 0.0, 2.0))
 
 
+def test_requests_that_left_long_ago_are_forgotten() -> None:
+    room = room_of(Conditions())
+    for _ in range(1000):
+        room._clock.advance(0.1)
+        now = room._clock.now
+        room.leave(room.enter("svc", URGENT, now, now + 2.0), sent=True)
+    queue = room._queue_by_service["svc"]
+    assert len(queue.sent_at) <= 10 * RATE_WINDOW_S + 1
+    assert queue.sent_per_s(room._clock.now) == pytest.approx(10.0, rel=0.1)
+    assert queue.sent_per_s(room._clock.now + 60.0) == 0.0
+
+
 def test_request_whose_turn_comes_too_late_is_refused_at_once() -> None:
     room = room_of(Conditions(work_s=0.1, slots=1.0))
     admitted = 0
