--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,11 +1,15 @@
 """Tests of the callers that the process tests use."""
 
+import json
 import socket
 import threading
 
+import pytest
+
 from dotterelpier.clients.http_connection import parse_address
 from tests.callers import Caller
 from tests.fleet_system import free_address
+from tests.scripted_server import ScriptedServer, whole_answer
 
 PAGE = '{{"entries": [{{"address": "{}", "weight": 1}}], "max_age_s": 60}}'
 
@@ -46,3 +50,20 @@
             assert all(closed.acquire(timeout=10) for _ in range(connections))
         listener.shutdown(socket.SHUT_RDWR)
     assert outcomes == ["answered"] * 3
+
+
+def test_entry_that_lists_no_entries_yet_is_passed_over() -> None:
+    """One that has just started answers with problem details."""
+    problem = b"HTTP/1.1 503 Busy\r\nContent-Length: 18\r\n\r\n" + b'{"status": 503   }'
+    starting = ScriptedServer(lambda request: [problem])
+    entries = {"entries": [{"address": "x:1", "weight": 1}], "max_age_s": 5}
+    listing = ScriptedServer(
+        lambda request: [whole_answer(request, json.dumps(entries).encode())]
+    )
+    for seed in range(10):
+        caller = Caller([starting.address, listing.address], seed)
+        assert caller._choose_address("catalogue") == "x:1"
+    with pytest.raises(ConnectionError):
+        Caller([starting.address], 0)._choose_address("catalogue")
+    starting.close()
+    listing.close()
