--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -31,6 +31,9 @@
 HOME_INTERVAL_S = 0.1
 # Within the age up to which a result counts, a home sends two.
 MAX_HOME_INTERVAL_S = 0.3
+# Checks of all servers at home here, in about this number a second, take a twentieth of
+# a core.
+HOME_CHECKS_PER_S = 40
 # A result much newer than the work takes is outdated before its request ends.
 HOME_INTERVAL_WORK_SHARE = 0.5
 SAME_ZONE_INTERVAL_S = 0.25
@@ -110,6 +113,7 @@
     _clock: Clock
     _checks: HealthChecks
     _conditions: Conditions
+    _subsets: Subsets
     _measurements: Measurements
     _stopped: threading.Event = field(factory=threading.Event)
 
@@ -133,7 +137,11 @@
         work_s = self._conditions.usual_work_s(self.instance.service)
         interval_s = min(
             MAX_HOME_INTERVAL_S,
-            max(HOME_INTERVAL_S, work_s * HOME_INTERVAL_WORK_SHARE),
+            max(
+                HOME_INTERVAL_S,
+                work_s * HOME_INTERVAL_WORK_SHARE,
+                len(self._subsets.home_ids()) / HOME_CHECKS_PER_S,
+            ),
         )
         return interval_s - self._clock.monotonic() % interval_s
 
@@ -253,6 +261,7 @@
             self._clock,
             self._checks,
             self._conditions,
+            self._subsets,
             self._measurements,
         )
         try:
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -232,6 +232,27 @@
 def test_home_checks_as_often_as_the_work_of_its_server_changes(
     work_s: float, interval_s: float
 ) -> None:
+    assert home_probe(work_s)._pause_s() == pytest.approx(interval_s)
+
+
+@pytest.mark.parametrize(("homes", "interval_s"), [(4, 0.1), (8, 0.2), (100, 0.3)])
+def test_home_of_many_servers_checks_each_less_often(homes, interval_s) -> None:
+    assert home_probe(0.0, homes)._pause_s() == pytest.approx(interval_s)
+
+
+@define
+class Homes:
+    """Fake subset with a number of servers at home."""
+
+    count: int
+
+    def home_ids(self) -> frozenset[str]:
+        return frozenset(f"home-{number}" for number in range(self.count))
+
+
+def home_probe(work_s: float, homes: int = 1) -> HomeProbe:
+    """Return the task of a home at time 0, of which only the pause is asked."""
     conditions: Any = Conditions(work_s=work_s)
-    probe = HomeProbe(HOME, NOTHING, ManualClock(now=0.0), NOTHING, conditions, NOTHING)
-    assert probe._pause_s() == pytest.approx(interval_s)
+    subsets: Any = Homes(homes)
+    clock = ManualClock(now=0.0)
+    return HomeProbe(HOME, NOTHING, clock, NOTHING, conditions, subsets, NOTHING)
