A new publisher stops waiting also where its role changed just before it waited

A wait that is not a back-off now ends whenever the entry is a publisher; the test covers both orders.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -130,8 +130,11 @@
             self._mirrors.note_unwatched(self.table)
             after = -1 if self._cursor is None else self._cursor
             backoff_s = self._store_backoff_until - self._clock.monotonic()
-            wait_s = backoff_s if backoff_s > 0 else WATCH_WAIT_S
-            return self._mirrors.watch(self.table, after, wait_s)
+            if backoff_s > 0:
+                return self._mirrors.watch(self.table, after, backoff_s)
+            return self._mirrors.watch(
+                self.table, after, WATCH_WAIT_S, until_publisher=True
+            )
         if self._cursor is None:
             reply = self._store.read(self.table)
         else:
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -185,11 +185,14 @@
             mirror = self._mirror_by_table.get(table) or TableMirror(table)
             return mirror.changes(after)
 
-    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+    def watch(
+        self, table: str, after: int, wait_s: float, *, until_publisher: bool = False
+    ) -> StoreReply:
         """Return the changes of a table after a version from a publisher.
 
-        Block for up to ``wait_s`` seconds until there is one, or until this entry
-        becomes a publisher; the reply is empty if nothing changed.
+        Block for up to ``wait_s`` seconds until there is one; the reply is empty if
+        nothing changed. With ``until_publisher``, return early once this entry is a
+        publisher. Otherwise publishers could wait for each other.
 
         Raises
         ------
@@ -198,7 +201,7 @@
         """
         until = self._clock.monotonic() + wait_s
         while True:
-            received = self._wait_for_newer(table, after, until)
+            received = self._wait_for_newer(table, after, until, until_publisher)
             if received is None:
                 return StoreReply((), self._complete_to(table, after))
             reply = self._fetch_changes(received, table, after)
@@ -222,14 +225,9 @@
         return reply
 
     def _wait_for_newer(
-        self, table: str, after: int, until: float
+        self, table: str, after: int, until: float, until_publisher: bool
     ) -> ReceivedAnnouncement | None:
-        """Return the announcement of a newer change, None if there is none in time.
-
-        The wait ends early when this entry becomes a publisher. Otherwise publishers
-        could wait for each other.
-        """
-        was_publisher = self._is_publisher
+        """Return the announcement of a newer change, None if there is none in time."""
         with self._changed:
             while True:
                 fresh = self._fresh_announcements(table)
@@ -241,7 +239,7 @@
                 if ahead:
                     return self._nearest(ahead)
                 now = self._clock.monotonic()
-                if now >= until or self._is_publisher > was_publisher:
+                if now >= until or (until_publisher and self._is_publisher):
                     return None
                 stale_at = (
                     max(item.store_answered_at for item in fresh)
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -176,11 +176,14 @@
         """Return the changes of a table after a version from the copy held here."""
         ...
 
-    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+    def watch(
+        self, table: str, after: int, wait_s: float, *, until_publisher: bool = False
+    ) -> StoreReply:
         """Return the changes of a table after a version from a publisher.
 
-        Block for up to ``wait_s`` seconds until there is one, or until this entry
-        becomes a publisher; the reply is empty if nothing changed.
+        Block for up to ``wait_s`` seconds until there is one; the reply is empty if
+        nothing changed. With ``until_publisher``, return early once this entry is a
+        publisher.
 
         Raises
         ------
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -326,7 +326,9 @@
     harness.announce(9, StoreRow("k", b"1", 7))
     replies = []
     waiting = threading.Thread(
-        target=lambda: replies.append(harness.mirrors.watch("t", 9, 3600.0)),
+        target=lambda: replies.append(
+            harness.mirrors.watch("t", 9, 3600.0, until_publisher=True)
+        ),
         daemon=True,
     )
     waiting.start()
@@ -342,6 +344,13 @@
     waiting.join(30.0)
     refreshed.set()
     assert replies == [StoreReply((), 9)]
+    # The same where it became one just before it asked.
+    harness.fleet.own = next(
+        item for item in harness.fleet.fleet_members if item != harness.fleet.publisher
+    )
+    harness.announce(9, whole=False)
+    reply = harness.mirrors.watch("t", 9, 3600.0, until_publisher=True)
+    assert reply == StoreReply((), 9)
 
 
 def test_publisher_announces_only_tables_that_it_watches(harness) -> None:
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -157,7 +157,9 @@
     def wait_for_seed(self, table: str) -> bool:
         return True
 
-    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+    def watch(
+        self, table: str, after: int, wait_s: float, *, until_publisher: bool
+    ) -> StoreReply:
         self.reads += 1
         return StoreReply((), 0, True)
 
