--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -31,8 +31,7 @@
 HOME_INTERVAL_S = 0.1
 # Within the age up to which a result counts, a home sends two.
 MAX_HOME_INTERVAL_S = 0.3
-# Checks of all servers at home here, in about this number a second, take a twentieth of
-# a core.
+# Bounds the processor time that a home of many servers spends on its checks.
 HOME_CHECKS_PER_S = 40
 # A result much newer than the work takes is outdated before its request ends.
 HOME_INTERVAL_WORK_SHARE = 0.5
--- a/dotterelpier/fleet/publishers.py
+++ b/dotterelpier/fleet/publishers.py
@@ -5,8 +5,8 @@
 
 # Another publisher must be known when one is lost.
 MIN_PUBLISHERS = 2
-# The calls of a publisher to the store cost about as much as the traffic between zones
-# that it saves to this many entries.
+# A publisher costs calls to the store, and saves traffic between zones to the entries
+# of its own.
 ENTRIES_PER_PUBLISHER = 32
 
 
