--- a/review/2/play.py
+++ b/review/2/play.py
@@ -26,6 +26,8 @@
 # How long a backend server goes on serving after it has reported that it leaves.
 LEAVES_AFTER_S = DRAIN_S + 2.0
 RELEASE_GAP_S = 1.0
+# Backend servers that start during traffic are cold for this long.
+WARMUP_S = 3.0
 REQUESTS_PER_S = 6
 
 
@@ -41,7 +43,8 @@
 
     def _run(self) -> None:
         for number, old in enumerate(self._backends):
-            new = Backend(self._record, f"{self._name}-{number}", old.service, old.zone)
+            name = f"{self._name}-{number}"
+            new = Backend(self._record, name, old.service, old.zone, cold_s=WARMUP_S)
             self._store.put("servers", new.id, new.row())
             time.sleep(RELEASE_GAP_S)
             old.draining = True
--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -15,7 +15,15 @@
     """
 
     def __init__(
-        self, record, name, service, zone, slots=4, work_s=0.05, host="127.0.0.1"
+        self,
+        record,
+        name,
+        service,
+        zone,
+        slots=4,
+        work_s=0.05,
+        host="127.0.0.1",
+        cold_s=0.0,
     ):
         self.record, self.id, self.service, self.zone = record, name, service, zone
         self.slots, self.work_s = slots, work_s
@@ -28,10 +36,15 @@
         self._free = threading.Semaphore(slots)
         self._connections: set[socket.socket] = set()
         self.born_ms = int(time.time() * 1000)
+        self._cold_until = time.monotonic() + cold_s
         self._listener = socket.create_server((host, 0), backlog=512)
         self.address = "%s:%d" % self._listener.getsockname()[:2]
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def cold_ms(self) -> int:
+        """Return for how many milliseconds the backend server is still cold."""
+        return max(0, int((self._cold_until - time.monotonic()) * 1000))
+
     def row(self, state: str = "ready") -> dict:
         """Return what the backend server writes to its row of the store."""
         return {
@@ -42,7 +55,11 @@
                 "zone": self.zone,
                 "slots": self.slots,
             },
-            "status": {"state": state, "sequence": 1, "coldRemainingMs": 0},
+            "status": {
+                "state": state,
+                "sequence": 1,
+                "coldRemainingMs": self.cold_ms(),
+            },
             "born": self.born_ms,
         }
 
@@ -92,6 +109,7 @@
                 f"HTTP/1.1 {status}",
                 f"X-Dotterelpier-Instance-Id: {self.id}",
                 f"X-Dotterelpier-Server-Load: {self.load()}",
+                f"X-Dotterelpier-Cold-Remaining-Ms: {self.cold_ms()}",
                 "Content-Length: 0",
             ]
             connection.sendall("\r\n".join((*lines, "", "")).encode())
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -174,7 +174,7 @@
     return {
         "version": f"{version:08x}",
         "routes": routes,
-        "services": {name: service for name in services},
+        "services": dict.fromkeys(services, service),
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 1 << 20,
