An end of the connection caused here does not complete an answer

Cause: an answer without a length ends with its connection. At the drain deadline the pool shuts its connections down, and the task that reads took the end of the bytes for the end of the answer. Aborts for clients that left and at deadlines did the same. Change: a connection remembers that this side ended it; an answer that only the end of the connection delimits is then lost, and the connection takes no further exchange.

--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -207,6 +207,10 @@
         """Return whether a body may follow the head."""
         return self.status not in STATUSES_WITHOUT_BODY and self.method != "HEAD"
 
+    def is_close_delimited(self) -> bool:
+        """Return whether only the end of the connection marks the end of the body."""
+        return self.has_body() and not self.chunked and self.declared_length() is None
+
     def declared_length(self) -> int | None:
         """Return the ``Content-Length`` in bytes, or None without this header."""
         text = self.headers.get("Content-Length")
--- a/dotterelpier/clients/pooled_connection.py
+++ b/dotterelpier/clients/pooled_connection.py
@@ -93,6 +93,9 @@
     _connection: http.client.HTTPConnection | None = None
     _socket: socket.socket | None = None
     _current: PooledExchange | None = None
+    # Set for good once this side ended the connection; the end of the bytes then does
+    # not mark the end of an answer.
+    _is_shut_down: bool = False
     _lock: threading.Lock = field(factory=threading.Lock)
     last_answer_at: float = float("-inf")
     usable_until: float = float("inf")
@@ -130,6 +133,7 @@
                 self._shut_down()
 
     def _shut_down(self) -> None:
+        self._is_shut_down = True
         shut_down(self._socket)
 
     def _next(self) -> PooledExchange | None:
@@ -200,7 +204,7 @@
             with self._lock:
                 self._socket = self._connection.sock
             # An abort before this had no socket to shut down.
-            if exchange.aborted:
+            if exchange.aborted or self._is_shut_down:
                 message = "aborted while the connection was opened"
                 raise self._error(OverloadedError, message)
 
@@ -261,12 +265,10 @@
         try:
             decoded = exchange.decode(answer)
         except RefusedError as error:
-            reusable = self._check_end(response)
-            self._release(reusable)
+            reusable = self._release(self._check_end(response))
             exchange.fail(error, ended=True)
             return reusable
-        reusable = self._check_end(response)
-        self._release(reusable)
+        reusable = self._release(self._check_end(response))
         exchange.ended.set_result(True)
         exchange.answer.set_result(decoded)
         return reusable
@@ -297,7 +299,7 @@
             stream.put(converted)
             raise converted from None
         stream.put(None)
-        self._release(reusable)
+        reusable = self._release(reusable)
         exchange.ended.set_result(True)
         return reusable
 
@@ -320,6 +322,9 @@
         if expected is not None and received != expected:
             message = f"answer ended after {received} of {expected} bytes"
             raise self._error(AnswerLostError, message)
+        if self._is_shut_down and response.is_close_delimited():
+            message = "connection was shut down here before the answer ended"
+            raise ConnectionAbortedError(message)
 
     def _check_end(self, response: StrictResponse) -> bool:
         """Check that no bytes follow the answer; return whether to keep the connection.
@@ -339,10 +344,14 @@
         self.usable_until = self.last_answer_at + _keep_alive_s(response)
         return not response.will_close
 
-    def _release(self, reusable: bool) -> None:
-        self._set_current(None)
+    def _release(self, reusable: bool) -> bool:
+        """End the exchange; return whether the connection takes another."""
+        with self._lock:
+            self._current = None
+            reusable = reusable and not self._is_shut_down
         if reusable:
             self._pool.give_back(self)
+        return reusable
 
     def _set_socket_timeout(self, exchange: PooledExchange) -> None:
         assert self._socket is not None
