A truncated chunk size is not the last chunk

Cause: http.client converts what it got of a size and takes a missing trailer for its end; the reader around it checked lines in the head only. Change: the reader knows whether a chunk size or the trailer comes next; a size must be hexadecimal digits and a whole line. Answers cut within the trailer are still delivered.

--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -1,5 +1,6 @@
 """HTTP connections with ``TCP_NODELAY``, and answers whose length is not guessed."""
 
+import enum
 import http.client
 import io
 import re
@@ -17,6 +18,7 @@
 KEEPALIVE_PROBES = 2
 
 LENGTH = re.compile(r"[0-9]{1,18}")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 FORBIDDEN_IN_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 FOLDED_LINE = re.compile(r"\r?\n[ \t]+")
@@ -45,27 +47,51 @@
 
 
 class MalformedAnswerError(http.client.HTTPException):
-    """The head of an answer is malformed or does not state where the answer ends."""
+    """An answer is malformed or does not state where it ends."""
+
+
+class LineKind(enum.Enum):
+    """What the next line of an answer is."""
+
+    HEAD = enum.auto()
+    CHUNK_SIZE = enum.auto()
+    TRAILER = enum.auto()
 
 
 @define
 class AnswerReader:
-    """Reads an answer; a truncated head is an error.
+    """Reads an answer; a truncated head or chunk size is an error.
 
     ``http.client`` closes its reader as soon as a body ends. This one stays open, so
     that ``peek`` shows whether more bytes came than belong to the answer.
+
+    Attributes
+    ----------
+    next_line : LineKind
+        What ``readline`` returns next.
     """
 
     _stream: Any
-    in_head: bool = True
+    next_line: LineKind = LineKind.HEAD
 
     def readline(self, limit: int = -1) -> bytes:
-        """Return the next line; raise ``RemoteDisconnected`` if a head is truncated."""
+        """Return the next line.
+
+        Raises
+        ------
+        RemoteDisconnected
+            If the head is truncated.
+        IncompleteRead
+            If the size of a chunk is truncated.
+        MalformedAnswerError
+            If the size of a chunk is malformed.
+        """
         line: bytes = self._stream.readline(limit)
-        if self.in_head and not line.endswith(b"\n") and len(line) != limit:
-            raise http.client.RemoteDisconnected(
-                "connection closed within the head of the answer"
-            )
+        if self.next_line is LineKind.HEAD:
+            _check_head_line(line, limit)
+        elif self.next_line is LineKind.CHUNK_SIZE and _chunk_size(line) == 0:
+            # The body is complete; the trailer is not used and may be truncated.
+            self.next_line = LineKind.TRAILER
         return line
 
     def read(self, size: int = -1) -> bytes:
@@ -98,6 +124,26 @@
         return self._stream.detach()
 
 
+def _check_head_line(line: bytes, limit: int) -> None:
+    if not line.endswith(b"\n") and len(line) != limit:
+        raise http.client.RemoteDisconnected(
+            "connection closed within the head of the answer"
+        )
+
+
+def _chunk_size(line: bytes) -> int:
+    """Return the size of a chunk in bytes.
+
+    ``http.client`` takes a truncated size for a smaller one.
+    """
+    if not line.endswith(b"\n"):
+        raise http.client.IncompleteRead(line)
+    match = CHUNK_SIZE_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedAnswerError(f"invalid chunk size: {line[:40]!r}")
+    return int(match[1], 16)
+
+
 class DeadlineStream(io.RawIOBase):
     """Reads from a socket until a deadline, however slowly the bytes arrive.
 
@@ -185,7 +231,7 @@
             If the head is malformed or does not determine the length of the body.
         """
         super().begin()
-        self.reader.in_head = False
+        self.reader.next_line = LineKind.CHUNK_SIZE
         if self.status < FIRST_FINAL_STATUS:
             raise MalformedAnswerError(f"unexpected interim status {self.status}")
         if self.headers.defects:
@@ -198,7 +244,7 @@
         response = type(self)(self.sock, method=self.method)
         response.reader.release()
         response.reader = self.reader
-        response.reader.in_head = True
+        response.reader.next_line = LineKind.HEAD
         response.fp = response.reader  # type: ignore[assignment]
         response.begin()
         return response
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -9,8 +9,9 @@
 from dotterelpier.clients.connections import make_connection_pool
 from dotterelpier.clients.exchanges import HttpRequest, PooledExchange
 from dotterelpier.clients.instances import RULES
-from dotterelpier.errors import CallError
+from dotterelpier.errors import CallError, PlatformUnavailableError
 from dotterelpier.kernel import make_kernel
+from dotterelpier.platform.store import make_row_stores
 from dotterelpier.protocols import ServiceName, TaskKind
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.tasks import make_tasks
@@ -145,3 +146,86 @@
     exchange = send(pool, half_answers.server)
     half_answers.go_on.set()
     assert exchange.answer.result(ANSWER_WAIT_S).body == HALF + HALF
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+FIRST_CHUNK = b"00000007\r\npartial\r\n"
+# Ends of the bytes at which the last chunk has not arrived for certain.
+CUT_CHUNKS = [
+    b"",
+    b"0",
+    b"000",
+    b"00000000",
+    b"00000000\r",
+    b"0;name=value",
+    b"0000000",
+    b"00000007",
+    b"00000007\r\n",
+    b"00000007\r\npart",
+    b"00000007\r\npartial",
+]
+# Sizes that only ``int`` takes for hexadecimal numbers.
+INVALID_SIZES = [b"-0", b"+0", b" 0", b"0x0", b"0_0", b"-7", b"", b"zero"]
+
+
+def serve_once(content: bytes) -> ScriptedServer:
+    """Return a server that sends these bytes after a head and closes."""
+    return ScriptedServer(lambda request: [head(request, CHUNKED) + content, b""])
+
+
+@pytest.mark.parametrize("whole_answer_bytes", [WHOLE_ANSWER_BYTES, 1])
+@pytest.mark.parametrize("end", CUT_CHUNKS)
+def test_answer_cut_around_the_size_of_a_chunk_is_not_complete(
+    pool, end, whole_answer_bytes
+) -> None:
+    """A cut within the leading zeros of a size looked like the last chunk."""
+    server = serve_once(FIRST_CHUNK + end)
+    with pytest.raises(CallError):
+        read_whole(send(pool, server, whole_answer_bytes))
+    server.close()
+
+
+@pytest.mark.parametrize("size", INVALID_SIZES)
+def test_invalid_size_of_a_chunk_is_not_the_last_chunk(pool, size) -> None:
+    server = serve_once(FIRST_CHUNK + size + b"\r\n\r\n")
+    with pytest.raises(CallError):
+        read_whole(send(pool, server))
+    server.close()
+
+
+@pytest.mark.parametrize(
+    "end",
+    [b"0\r\n\r\n", b"000\r\n\r\n", b"0;a=b\r\nA: b\r\n\r\n", b"0\r\n", b"0\r\nA: "],
+)
+def test_answer_with_its_last_chunk_is_complete(pool, end) -> None:
+    """RFC 9112, section 8: the last chunk completes the body, a cut trailer or not."""
+    server = serve_once(FIRST_CHUNK + end)
+    assert read_whole(send(pool, server)) == b"partial"
+    server.close()
+
+
+def read_whole(exchange: PooledExchange) -> bytes:
+    """Return the body of an answer, streamed or not; raise what its reader raises."""
+    answer = exchange.answer.result(ANSWER_WAIT_S)
+    return answer.body if answer.stream is None else b"".join(answer.stream)
+
+
+@pytest.mark.parametrize("end", [b"0", b"000"])
+def test_reply_of_the_store_cut_around_the_size_of_a_chunk_is_an_error(end) -> None:
+    rows = b'{"rows": [], "ver": 1, "nowMs": 1}'
+    size = f"{len(rows):08x}\r\n".encode()
+    server = serve_once(size + rows + b"\r\n" + end)
+    with pytest.raises(PlatformUnavailableError):
+        make_row_stores(server.address).connect().read("servers")
+    server.close()
+
+
+@pytest.mark.parametrize("lines", range(5))
+@pytest.mark.parametrize("cut", [b"", b"\r", b"Content-Le", b"Content-Length: 7"])
+def test_answer_cut_within_its_head_is_not_complete(pool, lines, cut) -> None:
+    """Clients of another system got a 200 with an empty body for such answers."""
+    whole = b"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 4\r\nC: d\r\n"
+    kept = b"".join(whole.splitlines(keepends=True)[:lines])
+    server = ScriptedServer(lambda request: [kept + cut, b""])
+    assert isinstance(send(pool, server).answer.exception(ANSWER_WAIT_S), CallError)
+    server.close()
