Watches whose response may be lost are repeated

Cause: a lost response leaves a watch of up to 25 s hanging on an open connection. A failed store probe was not announced to the other followers of the entry where another publisher was known, so these neither repeated their watches nor read from the other. Evidence: the entry's log has no failed read of the registrations and no line of the store link; four tests in test_row_store.py and test_mirrors.py failed before. Change: the store link tells when the store stops and resumes answering this entry; watches are aborted then, and other publishers are read meanwhile.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -68,19 +68,27 @@
     _store_backoff_until: float = float("-inf")
     # Whether the next call goes to the store, as no other entry can tell what changed.
     _read_store_next: bool = False
+    _is_watching: bool = False
+    # Whether the watch in progress was aborted because its response may be lost.
+    _interrupted: bool = False
     _stopped: threading.Event = field(factory=threading.Event)
 
     def start(self) -> None:
         """Follow the table in a task of its own."""
         self._tasks.supervise(TaskKind.CONTROL, self._serve)
         if not self.is_store_probe:
-            self._link.subscribe_recovery(self._store.abort)
+            self._link.subscribe_interruption(self._interrupt)
 
     def stop(self) -> None:
         """Abort the call in progress and end the task."""
         self._stopped.set()
         self._store.abort()
 
+    def _interrupt(self) -> None:
+        if self._is_watching:
+            self._interrupted = True
+            self._store.abort()
+
     def _serve(self) -> None:
         while not self._stopped.is_set():
             try:
@@ -129,7 +137,7 @@
         if reads_from_peers:
             self._mirrors.note_unwatched(self.table)
             after = -1 if self._cursor is None else self._cursor
-            backoff_s = self._store_backoff_until - self._clock.monotonic()
+            backoff_s = self._remaining_backoff_s()
             if backoff_s > 0:
                 return self._mirrors.watch(self.table, after, backoff_s)
             return self._mirrors.watch(
@@ -138,12 +146,27 @@
         if self._cursor is None:
             reply = self._store.read(self.table)
         else:
-            probe_wait_s = self._mirrors.store_probe_wait_s()
-            wait_s = probe_wait_s if self.is_store_probe else WATCH_WAIT_S
-            reply = self._store.watch(self.table, self._cursor, wait_s)
+            reply = self._watch_store(self._cursor)
+        if self.is_store_probe:
+            self._link.record_answer()
         self._mirrors.apply_reply(self.table, reply, is_store_probe=self.is_store_probe)
         return reply
 
+    def _watch_store(self, after: int) -> StoreReply:
+        probe_wait_s = self._mirrors.store_probe_wait_s()
+        wait_s = probe_wait_s if self.is_store_probe else WATCH_WAIT_S
+        self._is_watching = True
+        try:
+            return self._store.watch(self.table, after, wait_s)
+        finally:
+            self._is_watching = False
+
+    def _remaining_backoff_s(self) -> float:
+        """Return for how much longer a publisher reads from others, in seconds."""
+        if not self.is_store_probe and not self._link.is_answering():
+            return STORE_BACKOFF_S
+        return self._store_backoff_until - self._clock.monotonic()
+
     def _reads_from_peers(self) -> bool:
         """Return whether to read from another entry instead of the store."""
         if self._read_store_next:
@@ -151,7 +174,7 @@
         if self._cursor is None:
             return self._mirrors.wait_for_seed(self.table)
         if self._mirrors.is_publisher():
-            backing_off = self._clock.monotonic() < self._store_backoff_until
+            backing_off = self._remaining_backoff_s() > 0
             return backing_off and self._mirrors.has_other_publisher(self.table)
         wait_s = max(ANNOUNCEMENT_WAIT_S, self._mirrors.seed_wait_s())
         return self._mirrors.wait_for_other_publisher(self.table, wait_s)
@@ -163,6 +186,11 @@
             after=self._cursor,
             error=str(error),
         )
+        interrupted, self._interrupted = self._interrupted, False
+        if interrupted and self._link.is_answering():
+            return
+        if self.is_store_probe:
+            self._link.record_no_answer(error)
         self._store_backoff_until = self._clock.monotonic() + STORE_BACKOFF_S
         self._mirrors.note_unwatched(self.table)
         if self._mirrors.has_other_publisher(self.table):
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from dotterelpier.errors import PeerUnavailableError
+from dotterelpier.fleet.delivery_check import DeliveryCheck
 from dotterelpier.fleet.mirror import TableMirror
 from dotterelpier.fleet.publishers import publisher_names
 from dotterelpier.fleet.seeds import SeedQueries, make_seed_queries
@@ -32,6 +33,7 @@
     FleetPeers,
     LiveSettings,
     Mirrors,
+    StoreLink,
 )
 from dotterelpier.wire.fleet import decode_announcement, encode_announcement
 
@@ -70,12 +72,14 @@
     _datagrams: Datagrams
     _peers: FleetPeers
     _settings: LiveSettings
+    _link: StoreLink
     _seeds: SeedQueries
     _mirror_by_table: dict[str, TableMirror] = field(factory=dict)
     _received_by_sender: dict[str, ReceivedAnnouncement] = field(factory=dict)
     # Tables whose changes the store tells this entry at once.
     _watched_tables: set[str] = field(factory=set)
     _store_answered_at: float = float("-inf")
+    _deliveries: DeliveryCheck = field(factory=DeliveryCheck)
     _is_publisher: bool = True
     _had_other_publisher: bool = False
     _next_distant: int = 0
@@ -166,9 +170,10 @@
         tables may succeed while the connection of the store probe hangs.
         """
         with self._changed:
+            self._apply(table, reply)
             if is_store_probe:
-                self._store_answered_at = self._clock.monotonic()
-            self._mirror(table).apply_reply(reply)
+                now = self._store_answered_at = self._clock.monotonic()
+                self._deliveries.note_store_version(reply.version, now)
             self._watched_tables.add(table)
         if reply.rows:
             self._announce_now.set()
@@ -221,9 +226,13 @@
         if reply.version <= after and not reply.whole:
             return None
         with self._changed:
-            self._mirror(table).apply_reply(reply)
+            self._apply(table, reply)
         return reply
 
+    def _apply(self, table: str, reply: StoreReply) -> None:
+        self._mirror(table).apply_reply(reply)
+        self._deliveries.note_delivery(reply)
+
     def _wait_for_newer(
         self, table: str, after: int, until: float, until_publisher: bool
     ) -> ReceivedAnnouncement | None:
@@ -341,10 +350,24 @@
             self._announce_now.wait(ANNOUNCE_INTERVAL_S)
             self._announce_now.clear()
             self._drop_stale_announcements()
+            self._check_deliveries()
             store_age_s = self._clock.monotonic() - self._store_answered_at
             if self._is_publisher and store_age_s < self._max_staleness_s():
                 self._announce(store_age_s)
 
+    def _check_deliveries(self) -> None:
+        """Interrupt the watches of this entry if they missed a change of the store."""
+        with self._changed:
+            overdue = self._deliveries.is_overdue(self._clock.monotonic())
+        if overdue:
+            logger.warning(
+                "change of the store not delivered; repeating the watches",
+                step=STEP,
+                store_version=self._deliveries.awaited_version(),
+                delivered_version=self._deliveries.delivered_version(),
+            )
+            self._link.interrupt_watches()
+
     def _announce(self, store_age_s: float) -> None:
         fleet = self._fleet()
         with self._changed:
@@ -428,5 +451,6 @@
         kernel.find(ServiceName.DATAGRAMS, Datagrams),
         kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
         kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
+        kernel.find(ServiceName.STORE_LINK, StoreLink),
         make_seed_queries(kernel, settings.entry, settings.peers.seeds),
     )
--- a/dotterelpier/fleet/store_link.py
+++ b/dotterelpier/fleet/store_link.py
@@ -1,4 +1,4 @@
-"""Tracks whether the platform's store is reachable."""
+"""Tracks whether the platform's store is reachable, and answers this entry."""
 
 import threading
 from collections.abc import Callable
@@ -21,6 +21,7 @@
 
     _clock: Clock
     _reachable: bool = False
+    _answering: bool = True
     _closed: bool = False
     _recovered_at: float = float("-inf")
     _changed: threading.Condition = field(factory=threading.Condition)
@@ -39,8 +40,7 @@
             self._recovered_at = self._clock.monotonic()
             self._changed.notify_all()
         logger.info("store is reachable", step="store.link")
-        for listener in tuple(self._listeners):
-            listener()
+        self.interrupt_watches()
 
     def record_failure(self, error: Exception) -> None:
         """Record that a call to the store failed."""
@@ -51,6 +51,33 @@
                 "store is unreachable; retrying", step="store.link", error=str(error)
             )
 
+    def record_answer(self) -> None:
+        """Record that the store answered the store probe of this entry."""
+        with self._changed:
+            resumed, self._answering = not self._answering, True
+        if resumed:
+            logger.info("store answers this entry again", step="store.link")
+            self.interrupt_watches()
+
+    def record_no_answer(self, error: Exception) -> None:
+        """Record that the store probe of this entry failed.
+
+        Other entries may still tell what changed, so the store may be reachable.
+        """
+        with self._changed:
+            lost, self._answering = self._answering, False
+        if lost:
+            logger.warning(
+                "store does not answer this entry; interrupting its watches",
+                step="store.link",
+                error=str(error),
+            )
+            self.interrupt_watches()
+
+    def is_answering(self) -> bool:
+        """Return whether the store answered the last store probe; True at first."""
+        return self._answering
+
     def is_reachable(self) -> bool:
         """Return whether the last recorded call succeeded; False at first."""
         return self._reachable
@@ -71,8 +98,16 @@
             self._changed.wait_for(lambda: self._reachable or self._closed, timeout_s)
             return self._reachable
 
-    def subscribe_recovery(self, listener: Callable[[], None]) -> None:
-        """Call a listener whenever the store becomes reachable; it must not block."""
+    def interrupt_watches(self) -> None:
+        """Call the listeners, as responses to their watches may have been lost."""
+        for listener in tuple(self._listeners):
+            listener()
+
+    def subscribe_interruption(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever a watch in progress may never be answered.
+
+        It must not block.
+        """
         self._listeners.append(listener)
 
 
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -104,6 +104,18 @@
         """Record that a call to the store failed."""
         ...
 
+    def record_answer(self) -> None:
+        """Record that the store answered the store probe of this entry."""
+        ...
+
+    def record_no_answer(self, error: Exception) -> None:
+        """Record that the store probe of this entry failed."""
+        ...
+
+    def is_answering(self) -> bool:
+        """Return whether the store answered the last store probe; True at first."""
+        ...
+
     def is_reachable(self) -> bool:
         """Return whether the last recorded call succeeded; False at first."""
         ...
@@ -120,8 +132,15 @@
         """Block until the store is reachable; return whether it is."""
         ...
 
-    def subscribe_recovery(self, listener: Callable[[], None]) -> None:
-        """Call a listener whenever the store becomes reachable; it must not block."""
+    def interrupt_watches(self) -> None:
+        """Call the listeners, as responses to their watches may have been lost."""
+        ...
+
+    def subscribe_interruption(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever a watch in progress may never be answered.
+
+        It must not block.
+        """
         ...
 
 
--- a/tests/standins/row_store.py
+++ b/tests/standins/row_store.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's row store: reads, transactions and watches.
 
 Tests inject faults through its state: while ``outage`` is set, every request gets 503;
-after ``forget_history``, a watch from an older version gets 410.
+after ``forget_history``, a watch from an older version gets 410. Responses to calls for
+``silent_tables`` are lost, and their connections deliver nothing further.
 """
 
 import base64
@@ -41,6 +42,8 @@
     version: int = 0
     oldest_version: int = 0
     outage: bool = False
+    silent_tables: set[str] = field(factory=set)
+    lost_responses: int = 0
     calls: list[str] = field(factory=list)
     changed: threading.Condition = field(factory=threading.Condition)
 
@@ -86,10 +89,22 @@
     """Return a handler class that serves and changes this state."""
 
     class Handler(StandInHandler):
+        table: str | None = None
+
+        def answer_json(self, status: int, value: Any) -> None:
+            if self.table not in state.silent_tables:
+                super().answer_json(status, value)
+                return
+            state.lost_responses += 1
+            self.close_connection = True
+            while self.connection.recv(65536):
+                pass
+
         def do_GET(self) -> None:  # noqa: N802
             parts = urlsplit(self.path)
             query = {key: item[0] for key, item in parse_qs(parts.query).items()}
             state.calls.append(f"{parts.path} {query.get('table')}")
+            self.table = query.get("table")
             if state.outage:
                 self.answer_json(503, {"error": "outage"})
             elif parts.path == "/rows-get":
@@ -99,6 +114,7 @@
 
         def do_POST(self) -> None:  # noqa: N802
             body = json.loads(self.read_body())
+            self.table = None
             state.calls.append("/rows-tx")
             if state.outage:
                 self.answer_json(503, {"error": "outage"})
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -15,10 +15,12 @@
 )
 
 from dotterelpier.errors import PeerUnavailableError
+from dotterelpier.fleet import follower as follower_module
 from dotterelpier.fleet.mirror import TableMirror
 from dotterelpier.fleet.mirrors import STALENESS_SHARE, make_mirrors
 from dotterelpier.fleet.publishers import publisher_names
 from dotterelpier.fleet.seeds import SEED_WAIT_S
+from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.fleet_settings import (
     FleetEntrySettings,
     FleetSettings,
@@ -34,7 +36,14 @@
     TableVersions,
 )
 from dotterelpier.protocols import ServiceName
-from dotterelpier.protocols.fleet import DatagramKind, Mirrors, Routes, StoreLink
+from dotterelpier.protocols.fleet import (
+    DatagramKind,
+    Fleet,
+    Mirrors,
+    Registry,
+    Routes,
+    StoreLink,
+)
 from dotterelpier.services.clock import make_clock
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
@@ -227,6 +236,7 @@
         self.kernel.register(ServiceName.FLEET_PEERS, self.peers)
         self.kernel.register(ServiceName.FLEET, self.fleet)
         self.kernel.register(ServiceName.LIVE_SETTINGS, FixedSettings(settings.bounds))
+        self.kernel.register(ServiceName.STORE_LINK, make_store_link(self.kernel))
         self.mirrors = make_mirrors(self.kernel, settings)
         self.mirrors.start()
 
@@ -486,6 +496,53 @@
     return len(publishers) == 2 and announced
 
 
+ENTRY_ROW = {
+    "name": "entry-2",
+    "zone": "zone-a",
+    "caller_address": "127.0.0.1:1",
+    "peer_address": "127.0.0.1:2",
+    "incarnation": "a",
+}
+
+
+@pytest.fixture
+def watching_system(monkeypatch):
+    """Return an entry whose watches last longer than the test may."""
+    monkeypatch.setattr(follower_module, "WATCH_WAIT_S", 600.0)
+    system = start_fleet_system()
+    yield system
+    system.stop()
+
+
+def test_lost_response_to_the_watch_of_registrations_is_noticed(
+    watching_system,
+) -> None:
+    """The store answers all other calls meanwhile, the store probe included."""
+    system = watching_system
+    instance = ScriptedInstance("i-1", "shop", lambda item: [answer(item, b"sold")])
+    registry = system.kernel.find(ServiceName.REGISTRY, Registry)
+    system.register(instance)
+    wait_until(registry.instances, "the backend server is known")
+    system.store.silent_tables.add("servers")
+    system.store.put_json("servers", "i-1", instance.row("draining"))
+    wait_until(lambda: system.store.lost_responses, "the response is lost")
+    system.store.silent_tables.clear()
+    wait_until(lambda: not registry.instances(), "the backend server left")
+
+
+def test_lost_response_to_the_watch_of_entries_is_noticed(watching_system) -> None:
+    system = watching_system
+    fleet = system.kernel.find(ServiceName.FLEET, Fleet)
+    wait_until(lambda: system.store.keys("entries"), "the entry wrote its row")
+    watch = "/rows-feed entries"
+    wait_until(lambda: watch in system.store.calls, "the entries are watched")
+    system.store.silent_tables.add("entries")
+    system.store.put_json("entries", "entry-2", ENTRY_ROW)
+    wait_until(lambda: system.store.lost_responses, "the response is lost")
+    system.store.silent_tables.clear()
+    wait_until(lambda: len(fleet.members()) == 2, "the other entry is known")
+
+
 def test_only_publishers_call_the_store(fleet) -> None:
     instance = ScriptedInstance("i-1", "shop", lambda item: [answer(item, b"sold")])
     fleet[0].register(instance)
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -10,6 +10,7 @@
     HistoryLostError,
     PlatformUnavailableError,
 )
+from dotterelpier.fleet import follower as follower_module
 from dotterelpier.fleet.follower import make_follower
 from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.kernel import make_kernel
@@ -203,6 +204,58 @@
     )
 
 
+class OtherPublisher(SingleEntryReplicas):
+    """Replicas of an entry beside another that follows the store without faults."""
+
+    def __init__(self, stores) -> None:
+        self.stores = stores
+
+    def has_other_publisher(self, table: str) -> bool:
+        return True
+
+    def watch(
+        self, table: str, after: int, wait_s: float, *, until_publisher: bool = False
+    ) -> StoreReply:
+        return self.stores.connect().watch(table, after, min(wait_s, 0.5))
+
+
+@pytest.fixture
+def publishers(store, monkeypatch):
+    """Return followers whose watches last longer than the test may."""
+    monkeypatch.setattr(follower_module, "WATCH_WAIT_S", 600.0)
+    other_address, other_state = start_row_store()
+    pair = FollowerPair(store[0], OtherPublisher(make_row_stores(other_address)))
+    wait_until(lambda: pair.snapshots == 2, "both followers read a snapshot")
+    yield pair, store[1], other_state
+    pair.stop()
+
+
+def test_follower_whose_watch_lost_its_response_reads_from_another_entry(
+    publishers,
+) -> None:
+    """Entries went on for a whole watch with servers that had left."""
+    pair, state, other_state = publishers
+    state.silent_tables |= {"op", "t"}
+    other_state.put("t", "k", b"1")
+    wait_until(
+        lambda: pair.value_by_key.get("k") == b"1", "the follower delivers the row"
+    )
+
+
+def test_follower_whose_watch_lost_its_response_returns_to_the_store(
+    publishers,
+) -> None:
+    pair, state, _ = publishers
+    state.silent_tables |= {"op", "t"}
+    wait_until(lambda: not pair.link.is_answering(), "the silence is detected")
+    state.silent_tables.clear()
+    wait_until(pair.link.is_answering, "the store answers again")
+    state.put("t", "k", b"1")
+    wait_until(
+        lambda: pair.value_by_key.get("k") == b"1", "the follower delivers the row"
+    )
+
+
 def test_closing_the_link_ends_the_wait_for_the_store(store) -> None:
     kernel = make_kernel()
     kernel.register(ServiceName.CLOCK, make_clock())
