--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -47,8 +47,8 @@
         Called with the changed rows, in the thread of this task; the value of a
         deleted row is None.
     batch_pause_s : float
-        Pause after a reply with rows, in seconds, so that one call returns a series of
-        changes.
+        Pause after a reply with written rows, in seconds, so that one call returns a
+        series of changes. Deletions alone are followed without a pause.
     is_store_probe : bool
         Whether this task keeps calling the store during an outage to detect its
         recovery.
@@ -129,7 +129,7 @@
             )
         if reply.version >= 0:
             self._cursor = reply.version
-        if reply.rows and self.batch_pause_s:
+        if any(row.value is not None for row in reply.rows):
             self._stopped.wait(self.batch_pause_s)
 
     def _next_reply(self) -> StoreReply:
--- a/tests/test_fleet_liveness.py
+++ b/tests/test_fleet_liveness.py
@@ -1,9 +1,12 @@
 """Tests that entries ping each other and remove only those that do not answer."""
 
+import random
 import threading
 from collections import Counter
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet import liveness
@@ -124,6 +127,68 @@
     tasks.stop()
 
 
+@pytest.fixture
+def large_liveness():
+    """Return the ping tasks of one of 15 entries, and the fake fleet."""
+    cluster, tasks = FakeCluster(15), make_tasks(LimitSettings())
+    liveness_service = FleetLiveness(tasks, cluster, cluster, cluster)
+    liveness_service.start()
+    yield liveness_service, cluster
+    liveness_service.stop()
+    tasks.stop()
+
+
+def test_entry_that_lost_all_its_monitors_is_removed(large_liveness) -> None:
+    """The directory named entries without power until their monitors were removed."""
+    _, cluster = large_liveness
+    lost = {item.name for item in cluster.fleet_members} - {cluster.own.name}
+    cluster.unresponsive |= lost
+    wait_until(lambda: set(cluster.removed) == lost, "all of them are removed")
+
+
+def test_monitored_entries_of_a_failing_one_are_given_back(large_liveness) -> None:
+    liveness_service, cluster = large_liveness
+    monitored = set(liveness_service._monitor_by_name)
+    cluster.unresponsive |= monitored
+    wait_until(
+        lambda: set(liveness_service._monitor_by_name) > monitored,
+        "further entries are pinged",
+    )
+    cluster.unresponsive.clear()
+    wait_until(
+        lambda: set(liveness_service._monitor_by_name) == monitored,
+        "they are pinged no longer",
+    )
+
+
+@given(
+    zones=st.lists(st.sampled_from("abcde"), min_size=2, max_size=40),
+    lost_share=st.floats(0.0, 0.95),
+    seed=st.integers(0, 1000),
+)
+def test_lost_entries_are_pinged_whichever_others_are_lost_with_them(
+    zones, lost_share, seed
+) -> None:
+    members = tuple(member(number, zone) for number, zone in enumerate(zones))
+    count = min(len(members) - 1, int(lost_share * len(members)))
+    lost = {item.name for item in random.Random(seed).sample(members, count)}
+    pinged_by_live = Counter[str]()
+    for live in {item.name for item in members} - lost:
+        pinged_by_live.update(_pinged_by(live, members, lost))
+    assert lost <= pinged_by_live.keys()
+
+
+def _pinged_by(name: str, members: tuple[FleetMember, ...], lost: set[str]) -> set[str]:
+    """Return whom an entry pings once it has noticed all failures that it can."""
+    failed: frozenset[str] = frozenset()
+    while True:
+        monitors_by_name = find_monitors(members, failed)
+        pinged = {one for one, monitors in monitors_by_name.items() if name in monitors}
+        if pinged & lost <= failed:
+            return pinged
+        failed |= pinged & lost
+
+
 def test_stopped_entry_monitors_no_other(cluster) -> None:
     """A late change of the fleet must not start tasks that nobody ends."""
     tasks = make_tasks(LimitSettings())
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -149,6 +149,21 @@
     )
 
 
+def test_deletions_are_followed_without_a_pause(follower_pair) -> None:
+    """Rows of lost entries are deleted one after the other."""
+    pair, state = follower_pair
+    wait_until(lambda: pair.snapshots == 2, "both followers read a snapshot")
+    for key in ("a", "b"):
+        state.put("t", key, b"1")
+        wait_until(lambda key=key: key in pair.value_by_key, "the row is delivered")
+    pair.followers[1].batch_pause_s = 600.0
+    for key in ("a", "b"):
+        state.put("t", key, None)
+        wait_until(
+            lambda key=key: pair.value_by_key[key] is None, "the deletion is delivered"
+        )
+
+
 class LaggingReplicas(SingleEntryReplicas):
     """Replicas of a publisher that knows nothing newer than the first version."""
 
