Values out of range make a row of the store malformed

What was reported: odd rows of another writer ended other operators' machines, or kept them from following the list. Here no process ended, but the earlier row of a server stayed in use, and unusable values were accepted. Cause: numbers that fit no float and values nested almost too deep raised errors other than the codec's own, so the row was skipped; slots, hosts, ids, zones and versions had no range. Load and duration headers had none either.

--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -5,6 +5,7 @@
 
 import json
 import math
+import re
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from functools import partial
 from typing import Any, TypeVar
@@ -20,6 +21,7 @@
     ServiceConfig,
     Share,
 )
+from dotterelpier.wire.manifest_toml import is_address
 
 STEP = "platform.codec"
 CONFIG_KEY = "config"
@@ -36,6 +38,15 @@
 UNKNOWN_KIND_FLAGS = (False, False)
 # For a service that declares no limit; far above any real number of connections.
 UNLIMITED_CONNECTIONS = 1 << 20
+# Far above the slots of any real backend server; one with more would get all requests.
+MAX_SLOTS = 1 << 16
+# The largest range of whole numbers that JSON decoders agree on (RFC 8259, section 6).
+MAX_NUMBER = (1 << 53) - 1
+# 30 days; waits of the operating system and of Python are limited.
+MAX_DURATION_MS = 30 * 24 * 3_600_000
+# Ids of backend servers stand in headers, and keys have at most 200 bytes.
+INSTANCE_ID = re.compile(r"[!-~]{1,200}")
+VERSION = re.compile(r"[0-9A-Fa-f]{1,16}")
 
 T = TypeVar("T")
 
@@ -91,18 +102,20 @@
         ConfigError
             If the row is not valid; ``faults`` names the key at fault.
         """
+        if not INSTANCE_ID.fullmatch(key):
+            raise _config_error("(key)", f"{key!r:.80} cannot stand in a header")
         fields = _Fields(_parse_object(content), "")
         info, status = fields.child("serverInfo"), fields.child("status")
         state = status.get("state", _text)
         if state not in REGISTRATION_STATES:
             raise _config_error("status.state", f"{state!r} is unknown")
-        cold_ms = status.get("coldRemainingMs", _non_negative_number, 0.0)
+        cold_ms = status.get("coldRemainingMs", _duration_ms, 0.0)
         return Instance(
             key,
             info.get("service", _text),
             fields.get("address", _address),
             info.get("zone", _text),
-            info.get("slots", _positive_integer),
+            info.get("slots", _slots),
             draining=state == "draining",
             cold_remaining_s=cold_ms / 1000,
             started_at_ms=fields.get("born", _integer, 0),
@@ -123,7 +136,7 @@
             return default
         try:
             return read(value)
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, RecursionError) as error:
             raise _config_error(self.key_path(key), str(error)) from None
 
     def optional(self, key: str, read: Callable[[Any], T]) -> T | None:
@@ -142,7 +155,7 @@
             path = f"{self.key_path(key)}[{index}]"
             try:
                 children.append(_Fields(_mapping(item), path))
-            except ValueError as error:
+            except (ValueError, RecursionError) as error:
                 raise _config_error(path, str(error)) from None
         return children
 
@@ -192,7 +205,7 @@
 def _route(terms: Mapping[str, ServiceConfig], name: str, fields: _Fields) -> Route:
     kind = fields.get("kind", _text)
     idempotent, large_bodies = FLAGS_BY_ROUTE_KIND.get(kind, UNKNOWN_KIND_FLAGS)
-    timeout_ms = fields.optional("timeoutMs", _non_negative_number)
+    timeout_ms = fields.optional("timeoutMs", _duration_ms)
     return Route(
         name,
         # In the store, "hostname" is the host that clients request, not a machine.
@@ -202,7 +215,7 @@
         idempotent,
         large_bodies,
         None if timeout_ms is None else timeout_ms / 1000,
-        fields.get("targetLatencyMs", _non_negative_number, 1000.0) / 1000,
+        fields.get("targetLatencyMs", _duration_ms, 1000.0) / 1000,
         fields.get("maxAttempts", _positive_integer, 1),
         fields.get("priority", _integer, 0),
     )
@@ -242,12 +255,9 @@
     return ClientLimits(
         fields.get("maxHeaderBytes", _positive_integer, default.header_bytes),
         fields.get("maxBodyBytes", _positive_integer, default.body_bytes),
-        fields.get(
-            "headerTimeoutMs", _non_negative_number, default.header_timeout_s * 1000
-        )
-        / 1000,
-        fields.get("idleTimeoutMs", _non_negative_number, default.idle_timeout_s * 1000)
+        fields.get("headerTimeoutMs", _duration_ms, default.header_timeout_s * 1000)
         / 1000,
+        fields.get("idleTimeoutMs", _duration_ms, default.idle_timeout_s * 1000) / 1000,
     )
 
 
@@ -282,8 +292,8 @@
 
 
 def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected text, got {value!r:.80}")
+    if not isinstance(value, str) or not value or not value.isprintable():
+        raise ValueError(f"expected printable text, got {value!r:.80}")
     return value
 
 
@@ -303,8 +313,7 @@
 
 def _address(value: Any) -> str:
     text = _text(value)
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+    if not is_address(text):
         raise ValueError(f"expected IP:port, got {text!r:.80}")
     return text
 
@@ -312,11 +321,19 @@
 def _non_negative_number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"expected a number, got {value!r:.80}")
-    if not 0 <= value < math.inf:
-        raise ValueError(f"expected a number of 0 or more, got {value!r}")
+    if not 0 <= value <= MAX_NUMBER:
+        message = f"expected a number from 0 to {MAX_NUMBER}, got {value!r:.80}"
+        raise ValueError(message)
     return float(value)
 
 
+def _duration_ms(value: Any) -> float:
+    number = _non_negative_number(value)
+    if number > MAX_DURATION_MS:
+        raise ValueError(f"expected at most {MAX_DURATION_MS} ms, got {value!r:.80}")
+    return number
+
+
 def _integer(value: Any) -> int:
     number = _non_negative_number(value)
     if number != int(number):
@@ -331,8 +348,18 @@
     return number
 
 
+def _slots(value: Any) -> int:
+    number = _positive_integer(value)
+    if number > MAX_SLOTS:
+        raise ValueError(f"expected at most {MAX_SLOTS}, got {value!r:.80}")
+    return number
+
+
 def _hexadecimal_version(value: Any) -> int:
-    return int(_text(value), 16)
+    text = _text(value)
+    if not VERSION.fullmatch(text):
+        raise ValueError(f"expected a hexadecimal number, got {text!r:.80}")
+    return int(text, 16)
 
 
 def make_store_codec() -> StoreCodec:
--- a/dotterelpier/platform/headers.py
+++ b/dotterelpier/platform/headers.py
@@ -31,6 +31,10 @@
 # The load header gives the work time in percent of the usual work time.
 USUAL_WORK_PERCENT = 100
 
+# Figures above these are not valid. Waits of the operating system are limited too.
+MAX_LOAD_FIGURE = 1 << 31
+MAX_DURATION_MS = 30 * 24 * 3_600_000
+
 # Headers of a client that the entry replaces with its own.
 REPLACED_HEADERS = frozenset(
     name.lower() for name in (DEADLINE_HEADER, EXPECTED_INSTANCE_HEADER)
@@ -141,7 +145,7 @@
             value = float(text)
         except ValueError:
             return None
-        return value / 1000 if 0 < value < math.inf else None
+        return min(value, MAX_DURATION_MS) / 1000 if 0 < value < math.inf else None
 
 
 def read_load(text: str | None) -> LoadFigures | None:
@@ -156,7 +160,9 @@
         figures = [int(part) for part in text.split(",")]
     except ValueError:
         return None
-    if len(figures) < 3 or min(figures) < 0 or figures[2] == 0:
+    if len(figures) < 3 or figures[2] == 0:
+        return None
+    if min(figures) < 0 or max(figures) > MAX_LOAD_FIGURE:
         return None
     work_ratio = figures[3] / USUAL_WORK_PERCENT if len(figures) > 3 else 1.0
     return LoadFigures(figures[0], figures[1], figures[2], work_ratio)
@@ -167,7 +173,7 @@
         value = float(text or 0)
     except ValueError:
         return 0.0
-    return value / 1000 if 0 <= value < math.inf else 0.0
+    return value / 1000 if 0 <= value <= MAX_DURATION_MS else 0.0
 
 
 def make_platform_headers() -> PlatformHeaders:
--- a/tests/test_fleet_requests.py
+++ b/tests/test_fleet_requests.py
@@ -312,3 +312,38 @@
     wait_until(
         lambda: "entry-1" in system.store.keys("entries"), "the row is written again"
     )
+
+
+HUGE = 10**400
+ODD_ROWS = {
+    "deeply nested": b"[" * 100_000,
+    "nested within": b'{"address":' + b"[" * 980 + b"]" * 980 + b"}",
+    "number too large": {"born": HUGE},
+    "cold for too long": {"status": {"state": "ready", "coldRemainingMs": HUGE}},
+    "port out of range": {"address": "127.0.0.1:99999"},
+    "host with a zero byte": {"address": "127.0.0.1\x00:80"},
+    "no object": b"[]",
+    "not readable": b"\xff\xfe\x00",
+}
+
+
+@pytest.mark.parametrize("name", ODD_ROWS)
+def test_odd_row_replaces_the_registration_and_harms_no_other(system, name) -> None:
+    """Entries of another system ended, or stopped following the list, at such a row."""
+    odd_row = ODD_ROWS[name]
+    first, second = (ScriptedInstance(id, "svc", echo_target) for id in ("i-1", "i-2"))
+    register_and_wait(system, first, second)
+    if isinstance(odd_row, dict):
+        odd_row = json.dumps({**first.row(), **odd_row}).encode()
+    system.store.put("servers", "i-1", odd_row)
+    registry = system.kernel.find(ServiceName.REGISTRY, Registry)
+    wait_until(
+        lambda: [item.id for item in registry.instances()] == ["i-2"],
+        "only the other backend server is in use",
+    )
+    system.store.put_json("servers", "i-2", second.row("draining"))
+    system.store.put_json("servers", "i-1", first.row())
+    wait_until(
+        lambda: [item.id for item in registry.instances()] == ["i-1"],
+        "the later rows are followed",
+    )
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -1,6 +1,7 @@
 """Tests of the platform's codecs with valid, arbitrary and malformed input."""
 
 import json
+import threading
 
 import pytest
 from hypothesis import given
@@ -14,7 +15,7 @@
 )
 from dotterelpier.model.instance import Instance, LoadFigures
 from dotterelpier.model.request import Request
-from dotterelpier.platform.codec import make_store_codec
+from dotterelpier.platform.codec import MAX_SLOTS, make_store_codec
 from dotterelpier.platform.headers import make_platform_headers, read_load
 from tests.fleet_system import (
     ATTEMPT_ID_HEADER,
@@ -291,3 +292,96 @@
 def test_client_timeout_is_decoded(text, seconds) -> None:
     variable = "HTTP_X_DOTTERELPIER_DEADLINE_MS"
     assert HEADERS.client_timeout_s({variable: text}) == seconds
+
+
+HUGE = 10**400
+
+ODD_VALUES = {
+    "address": ["127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:\u0661", "shop:80"]
+    + ["127.0.0.1\x00:80", "127.0.0.1\n:80", "127.0.0.1:80:80", ":80", HUGE],
+    "born": [HUGE, 1e300, -1, "1", 0.5],
+    "serverInfo": [HUGE, "text", []],
+    "serverInfo.slots": [HUGE, 1e308, 500_000_000, 0, True],
+    "serverInfo.zone": ["\ud800", "zone\x00", "", HUGE],
+    "serverInfo.service": ["\ud800", "a\nb", "", HUGE],
+    "status.coldRemainingMs": [HUGE, 1e308, -1, "1"],
+    "status.state": ["lame", HUGE, None],
+}
+ODD_FIELDS = [(path, value) for path, items in ODD_VALUES.items() for value in items]
+
+
+def registration_with(path: str, value) -> dict:
+    row = {
+        "address": "127.0.0.1:80",
+        "serverInfo": {"service": "svc", "zone": "zone-a", "slots": 4},
+        "status": {"state": "ready", "sequence": 1, "coldRemainingMs": 0},
+        "born": 1,
+    }
+    *parents, key = path.split(".")
+    place = row
+    for parent in parents:
+        place = place[parent]
+    place[key] = value
+    return row
+
+
+@pytest.mark.parametrize(("path", "value"), ODD_FIELDS)
+def test_registration_with_a_value_out_of_range_is_rejected(path, value) -> None:
+    with pytest.raises(ConfigError, match=path):
+        CODEC.instance("i-1", encoded(registration_with(path, value)))
+
+
+@pytest.mark.parametrize("key", ["", "i\n1", "i 1", "\u00e9", "\ud800", "i" * 201])
+def test_registration_whose_id_fits_no_header_is_rejected(key) -> None:
+    with pytest.raises(ConfigError):
+        CODEC.instance(key, encoded(registration_with("born", 1)))
+
+
+@given(path=st.sampled_from(sorted(ODD_VALUES)), value=JSON)
+def test_any_value_in_a_registration_is_accepted_or_rejected(path, value) -> None:
+    try:
+        instance = CODEC.instance("i-1", encoded(registration_with(path, value)))
+    except ConfigError:
+        return
+    assert 0 < instance.slots <= MAX_SLOTS
+
+
+@pytest.mark.parametrize("depth", [100, 900, 950, 970, 980, 985, 990, 5000, 100_000])
+def test_deeply_nested_rows_are_rejected(depth) -> None:
+    """What can just be parsed may be too deep to be shown in an error."""
+    nested = b"[" * depth + b"]" * depth
+    for content in (nested, b'{"address": %s, "version": %s}' % (nested, nested)):
+        for decode in (lambda row: CODEC.instance("i-1", row), CODEC.route_table):
+            with pytest.raises(ConfigError):
+                decode(content)
+
+
+@pytest.mark.parametrize("version", ["f" * 5000, "1" * 17, "0x1", "-1", "1_0", " 1"])
+def test_version_that_is_no_hexadecimal_number_is_rejected(version) -> None:
+    with pytest.raises(ConfigError, match="version"):
+        CODEC.route_table(encoded({**config(1, {}), "version": version}))
+
+
+@pytest.mark.parametrize("key", ["maxHeaderBytes", "idleTimeoutMs"])
+def test_limit_out_of_range_is_rejected(key) -> None:
+    row = config(1, {"r": route("/a/", "svc")}, "svc")
+    row["limits"][key] = HUGE
+    with pytest.raises(ConfigError, match=key):
+        CODEC.route_table(encoded(row))
+
+
+@pytest.mark.parametrize(
+    "text", ["1,2,4," + "9" * 400, "1,2," + "9" * 400, "9" * 5000 + ",0,4"]
+)
+def test_load_with_a_figure_out_of_range_is_ignored(text) -> None:
+    """Such a figure raised an error that the health check does not expect."""
+    assert read_load(text) is None
+
+
+@pytest.mark.parametrize("text", ["1e300", "9" * 400, "1" * 30])
+def test_durations_of_headers_can_be_waited_for(text) -> None:
+    headers = (("X-Dotterelpier-Cold-Remaining-Ms", text),)
+    cold_s = HEADERS.decode_health(200, headers).cold_remaining_s
+    timeout_s = HEADERS.client_timeout_s({"HTTP_X_DOTTERELPIER_DEADLINE_MS": text})
+    for duration_s in (cold_s, timeout_s or 0.0):
+        assert duration_s < threading.TIMEOUT_MAX
