Late requests that could outlast a planned stop are refused at once

What was reported: requests that came late in the grace period of another system were passed on and cut at its end without an answer. Cause: an entry listens for half of the grace period and drains until 0.85 of it, and sent whatever came in between, however long it could run. Evidence: test_late_request_that_could_outlast_a_stop_is_refused_at_once failed before: the request was sent. Change: after 2.5 s of a stop, or 0.4 of the grace period, requests must end before the drain deadline; others get 503 with Retry-After 0 before a service is chosen.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -36,6 +36,7 @@
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
     Conditions,
+    DrainWindow,
     Forwarding,
     Instances,
     RetryBudget,
@@ -71,6 +72,7 @@
     _instances: Instances
     _budget: RetryBudget
     _waiting_room: WaitingRoom
+    _drain_window: DrainWindow
     _split: WeightedSplit = field(factory=WeightedSplit)
 
     def serve(self, request: Request) -> Reply:
@@ -110,12 +112,13 @@
         if not route.shares:
             message = f"route {route.name!r} is not understood"
             raise RouteFaultyError(message, step=STEP)
-        service = self._split.choose(route)
-        self._budget.note_request(service)
         timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
         if route.timeout_s is not None:
             timeout_s = min(timeout_s, route.timeout_s)
         deadline_at = request.arrived_at + timeout_s
+        self._drain_window.check(request.arrived_at, deadline_at)
+        service = self._split.choose(route)
+        self._budget.note_request(service)
         return RequestState(request, route, table.version, service, deadline_at)
 
     def _run_attempts(self, state: RequestState) -> Reply:
@@ -416,4 +419,5 @@
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
         kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
+        kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
     )
--- a/dotterelpier/fleet/planned_stop.py
+++ b/dotterelpier/fleet/planned_stop.py
@@ -8,6 +8,7 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import Clock, Metrics, ServiceName, StoppableFrontend
 from dotterelpier.protocols.fleet import (
+    DrainWindow,
     Fleet,
     LiveSettings,
     PlannedStop,
@@ -18,6 +19,10 @@
 # Share of the grace period during which new connections are still accepted. Meanwhile
 # clients learn from the directory that this entry leaves.
 LISTEN_SHARE = 0.5
+# Requests that arrive within this share of the grace period, and within this time, are
+# accepted whatever their deadline.
+ALL_ACCEPTED_SHARE = 0.4
+ALL_ACCEPTED_S = 2.5
 # Share of the grace period until the drain deadline. The rest is a margin for a busy
 # machine.
 DRAIN_END_SHARE = 0.85
@@ -39,6 +44,7 @@
     _routes: Routes
     _registry: Registry
     _settings: LiveSettings
+    _window: DrainWindow
     _stopping: threading.Event = field(factory=threading.Event)
 
     def takes_requests(self) -> bool:
@@ -57,6 +63,9 @@
         """
         began_at = self._clock.monotonic()
         grace_s = self._settings.bounds().grace_s
+        drain_until = began_at + grace_s * DRAIN_END_SHARE
+        all_accepted_s = min(grace_s * ALL_ACCEPTED_SHARE, ALL_ACCEPTED_S)
+        self._window.begin(began_at + all_accepted_s, drain_until)
         self._stopping.set()
         self._metrics.set_gauge("stopping", 1)
         logger.info("stop began", step="stop", grace_s=grace_s)
@@ -66,7 +75,7 @@
         listen_until = began_at + grace_s * LISTEN_SHARE
         threading.Event().wait(max(0.0, listen_until - self._clock.monotonic()))
         frontend.stop_listening()
-        self._wait_for_answers(began_at + grace_s * DRAIN_END_SHARE)
+        self._wait_for_answers(drain_until)
 
     def _wait_for_answers(self, until: float) -> None:
         frontend = self._kernel.find(ServiceName.CLIENT_FRONTEND, StoppableFrontend)
@@ -92,4 +101,5 @@
         kernel.find(ServiceName.ROUTES, Routes),
         kernel.find(ServiceName.REGISTRY, Registry),
         kernel.find(ServiceName.LIVE_SETTINGS, LiveSettings),
+        kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
     )
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -14,6 +14,7 @@
 from dotterelpier.clients.instances import make_instances
 from dotterelpier.fleet.conditions import make_conditions
 from dotterelpier.fleet.directory import make_entry_directory
+from dotterelpier.fleet.drain_window import make_drain_window
 from dotterelpier.fleet.forwarding import make_forwarding
 from dotterelpier.fleet.live_settings import make_live_settings
 from dotterelpier.fleet.liveness import make_liveness
@@ -167,6 +168,7 @@
     budget = make_retry_budget(kernel)
     kernel.register(ServiceName.RETRY_BUDGET, budget, (ServiceName.FLEET,))
     kernel.register(ServiceName.WAITING_ROOM, make_waiting_room(kernel))
+    kernel.register(ServiceName.DRAIN_WINDOW, make_drain_window())
     dependencies: tuple[str, ...] = (ServiceName.CONDITIONS, ServiceName.RETRY_BUDGET)
     kernel.register(ServiceName.FORWARDING, make_forwarding(kernel), dependencies)
     stop = make_planned_stop(kernel)
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -10,6 +10,7 @@
     InternalError,
     InvalidCallError,
     OverloadedError,
+    StoppingError,
 )
 from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.frontends.http_server import (
@@ -130,6 +131,9 @@
 
 
 def _retry_after_s(error: DotterelpierError) -> float:
+    if isinstance(error, StoppingError):
+        # Other entries take the request at once.
+        return 0.0
     stated_s = error.retry_after_s if isinstance(error, OverloadedError) else None
     return RETRY_AFTER_S if stated_s is None else stated_s
 
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Protocols of the services of an entry in a fleet."""
 
 from dotterelpier.protocols.fleet.requests import (
+    DrainWindow,
     EntryDirectory,
     Forwarding,
     HeaderCodec,
@@ -39,6 +40,7 @@
     "Conditions",
     "DatagramKind",
     "Datagrams",
+    "DrainWindow",
     "EntryDirectory",
     "Fleet",
     "FleetPeers",
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -258,6 +258,24 @@
         ...
 
 
+class DrainWindow(Protocol):
+    """Which requests are still accepted during a planned stop."""
+
+    def begin(self, all_accepted_until: float, ends_at: float) -> None:
+        """Begin a planned stop; both times are on the monotonic clock, in seconds."""
+        ...
+
+    def check(self, arrived_at: float, deadline_at: float) -> None:
+        """Check that a request may be sent; both times are on the monotonic clock.
+
+        Raises
+        ------
+        StoppingError
+            If it arrived late in a planned stop and could outlast it.
+        """
+        ...
+
+
 class PlannedStop(Protocol):
     """Readiness of an entry, and its planned stop."""
 
--- a/dotterelpier/protocols/names.py
+++ b/dotterelpier/protocols/names.py
@@ -56,6 +56,7 @@
     WAITING_ROOM = "waiting_room"
     LIVE_SETTINGS = "live_settings"
     FORWARDING = "forwarding"
+    DRAIN_WINDOW = "drain_window"
     ENTRY_DIRECTORY = "entry_directory"
     PLANNED_STOP = "planned_stop"
     CLIENT_FRONTEND = "client_frontend"
--- a/tests/test_fleet_requests.py
+++ b/tests/test_fleet_requests.py
@@ -7,8 +7,15 @@
 
 import pytest
 
+from dotterelpier.fleet import planned_stop
 from dotterelpier.protocols import ServiceName
-from dotterelpier.protocols.fleet import Conditions, Registry, Routes, StoreLink
+from dotterelpier.protocols.fleet import (
+    Conditions,
+    PlannedStop,
+    Registry,
+    Routes,
+    StoreLink,
+)
 from tests.fleet_system import (
     ATTEMPT_ID_HEADER,
     HOST,
@@ -347,3 +354,38 @@
         lambda: [item.id for item in registry.instances()] == ["i-1"],
         "the later rows are followed",
     )
+
+
+@pytest.fixture
+def stopping_system(system, monkeypatch):
+    """Return an entry in a planned stop that takes no request of any length."""
+    monkeypatch.setattr(planned_stop, "ALL_ACCEPTED_S", 0.0, raising=False)
+    instance = ScriptedInstance("i-1", "svc", echo_target)
+    options = {"kind": "non_idempotent", "timeoutMs": 60_000}
+    register_and_wait(system, instance, **options)
+    stop = system.kernel.find(ServiceName.PLANNED_STOP, PlannedStop)
+    bounds = system.settings.bounds
+    thread = threading.Thread(target=stop.run, daemon=True)
+    thread.start()
+    wait_until(lambda: not stop.takes_requests(), "the stop has begun")
+    yield system, instance, bounds.grace_s
+    thread.join(END_TIMEOUT_S)
+
+
+def test_late_request_that_could_outlast_a_stop_is_refused_at_once(
+    stopping_system,
+) -> None:
+    """Such requests were sent and cut off at the end of the stop without an answer."""
+    system, instance, grace_s = stopping_system
+    timeout_ms = str(int(grace_s * 2000))
+    reply = system.send("/a/x", "POST", b"", X_Dotterelpier_Deadline_Ms=timeout_ms)
+    assert reply.status == 503
+    assert reply.headers["Retry-After"] == "0.00"
+    assert instance.runs == []
+
+
+def test_late_request_that_ends_before_a_stop_is_served(stopping_system) -> None:
+    system, _, grace_s = stopping_system
+    timeout_ms = str(int(grace_s * 200))
+    reply = system.send("/a/x", "POST", b"", X_Dotterelpier_Deadline_Ms=timeout_ms)
+    assert reply.status == 200
