--- a/dotterelpier/fleet/live_settings.py
+++ b/dotterelpier/fleet/live_settings.py
@@ -43,9 +43,12 @@
     _stopped: bool = False
 
     def start(self) -> None:
-        """Start the task; without a file it is not needed."""
+        """Start the task, which reads the file at once; without one it is not needed.
+
+        The file may have changed since the settings to start with were read.
+        """
         if self._path is not None:
-            self._content = _read(self._path)
+            self._wanted.set()
             self._tasks.supervise(TaskKind.CONTROL, self._serve)
 
     def stop(self) -> None:
--- a/tests/test_live_settings.py
+++ b/tests/test_live_settings.py
@@ -1,7 +1,13 @@
 """Settings that change while an entry runs."""
 
+import os
+import signal
+import subprocess
+import sys
+
 import pytest
 
+from dotterelpier.exit_status import ExitStatus
 from dotterelpier.fleet import live_settings
 from dotterelpier.fleet.live_settings import make_live_settings
 from dotterelpier.fleet_settings import read_fleet_settings
@@ -9,7 +15,9 @@
 from dotterelpier.protocols import ServiceName
 from dotterelpier.services.tasks import make_tasks
 from dotterelpier.settings import LimitSettings
-from tests.utils import wait_until
+from tests.utils import ROOT, wait_until
+
+EXIT_TIMEOUT_S = 30.0
 
 CONTENT = """
 [entry]
@@ -123,3 +131,33 @@
     entry.change("grace_s = 6.0", "grace_s = 8.0")
     wait_until(lambda: entry.settings.bounds().grace_s == 8.0, "the file is read")
     entry.stop()
+
+
+def test_change_before_the_start_is_noticed(tmp_path, monkeypatch) -> None:
+    monkeypatch.setattr(live_settings, "CHECK_INTERVAL_S", 3600.0)
+    path = tmp_path / "entry.toml"
+    path.write_text(CONTENT)
+    kernel = make_kernel()
+    tasks = make_tasks(LimitSettings())
+    kernel.register(ServiceName.TASKS, tasks)
+    settings = make_live_settings(kernel, read_fleet_settings(path), path)
+    path.write_text(CONTENT.replace("grace_s = 6.0", "grace_s = 9.0"))
+    settings.start()
+    wait_until(lambda: settings.bounds().grace_s == 9.0, "the change is applied")
+    settings.stop()
+    tasks.stop()
+
+
+def test_reload_signal_before_the_handler_is_set_does_not_end_the_process(
+    tmp_path,
+) -> None:
+    """The process waits for its settings, with all modules loaded but no handler."""
+    path = tmp_path / "entry.toml"
+    os.mkfifo(path)
+    command = [sys.executable, "-m", "dotterelpier", "serve", "--settings", str(path)]
+    process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
+    # This returns once the process opens the file.
+    with open(path, "w") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write("not valid")
+    assert process.wait(EXIT_TIMEOUT_S) == ExitStatus.SETTINGS_INVALID
