An empty table is read whole from another entry

Cause: the reply of a seed whose table was empty at version 0 counted as changes, not as the whole table, so the registry was never marked as loaded; a seed that knew nothing was believed too. Evidence: test_empty_table_is_read_whole and test_copy_that_is_not_complete_is_not_read failed before. Change: a reader that knows nothing gets the whole table or an error.

--- a/dotterelpier/fleet/mirror.py
+++ b/dotterelpier/fleet/mirror.py
@@ -40,10 +40,11 @@
         Parameters
         ----------
         after : int
-            Version of the store up to which the reader knows the table.
+            Version of the store up to which the reader knows the table, 0 if it knows
+            nothing.
         """
         version = max(self._complete_to, 0)
-        if after < self._known_since or self._complete_to < 0:
+        if after <= 0 or after < self._known_since or self._complete_to < 0:
             whole = self._complete_to >= 0
             return StoreReply(tuple(self._row_by_key.values()), version, whole)
         known = (*self._row_by_key.values(), *self._tombstone_by_key.values())
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -223,6 +223,12 @@
             with self._changed:
                 self._received_by_sender.pop(received.member.name, None)
             raise
+        if after < 0 and not reply.whole:
+            raise PeerUnavailableError(
+                "publisher does not know the whole table",
+                step=STEP,
+                peer=received.member.name,
+            )
         if reply.version <= after and not reply.whole:
             return None
         with self._changed:
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -281,6 +281,19 @@
     assert harness.mirrors.watch("t", 9, 5.0) == StoreReply((newer,), 12)
 
 
+def test_empty_table_is_read_whole(harness) -> None:
+    """Else an entry never becomes ready at the first start, before any change."""
+    harness.announce(0)
+    assert harness.mirrors.watch("t", -1, 1.0) == StoreReply((), 0, whole=True)
+
+
+def test_copy_that_is_not_complete_is_not_read(harness) -> None:
+    harness.announce(5, StoreRow("k", b"v", 5))
+    harness.peers.mirror = TableMirror("t")
+    with pytest.raises(PeerUnavailableError):
+        harness.mirrors.watch("t", -1, 1.0)
+
+
 def test_publisher_that_stops_announcing_is_dropped(harness) -> None:
     with pytest.raises(PeerUnavailableError):
         harness.mirrors.watch("t", 0, 5.0)
