A refused row of an entry is written again after growing pauses

What the review saw: an entry whose writes alone were refused wrote its row 3,105 times in 5 s. Cause: the pause waited for the store to be reachable, which it was. Change: pauses of up to 0.2 s, doubling to 2 s, each of random length.

--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -1,6 +1,7 @@
 """Follows the entries of the fleet by their rows in the store."""
 
 import json
+import random
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -24,8 +25,10 @@
 # Budgets are divided by the largest number of entries known within this time, so that
 # entries that left but still run are counted.
 SIZE_WINDOW_S = 15.0
-# Longest wait before the entry retries a failed write of its own row.
-WRITE_RETRY_S = 0.5
+# Longest pause after the first failed write of the row of this entry, and after many.
+# With these, a large fleet that the store refuses keeps to its rate of writes.
+WRITE_RETRY_S = 0.2
+WRITE_RETRY_MAX_S = 2.0
 
 
 @define
@@ -50,7 +53,7 @@
     # The connection takes one call at a time.
     _store_lock: threading.Lock = field(factory=threading.Lock)
     _listeners: list[Callable[[], None]] = field(factory=list)
-    _leaving: bool = False
+    _leaving: threading.Event = field(factory=threading.Event)
 
     def start(self) -> None:
         """Follow the rows, and write the row of this entry in a task of its own."""
@@ -61,7 +64,7 @@
 
     def stop(self) -> None:
         """Stop following and maintaining rows; the row of this entry stays."""
-        self._leaving = True
+        self._leaving.set()
         self._write_requested.set()
         if self._follower is not None:
             self._follower.stop()
@@ -78,7 +81,7 @@
         with self._lock:
             if self._members is None:
                 member_by_name = dict(self._member_by_name)
-                if not self._leaving:
+                if not self._leaving.is_set():
                     member_by_name[self._me.name] = self._me
                 names = sorted(member_by_name)
                 self._members = tuple(member_by_name[name] for name in names)
@@ -104,7 +107,7 @@
 
         The row is not written again. A failure is only logged.
         """
-        self._leaving = True
+        self._leaving.set()
         with self._lock:
             self._members = None
             version = self._version_by_name.get(self._me.name)
@@ -135,7 +138,7 @@
         with self._lock:
             gone = tuple(self._member_by_name.keys() - present)
             written = self._me.name in self._version_by_name
-        if written and self._me.name not in present and not self._leaving:
+        if written and self._me.name not in present and not self._leaving.is_set():
             self._write_requested.set()
         self.apply_changes((*(StoreRow(name, None, 0) for name in gone), *rows))
 
@@ -163,26 +166,40 @@
                 incarnation=member.incarnation if member else "",
                 version=row.version,
             )
-        if row.key == self._me.name and member != self._me and not self._leaving:
+        if (
+            row.key == self._me.name
+            and member != self._me
+            and not self._leaving.is_set()
+        ):
             self._write_requested.set()
 
     def _maintain_own_row(self) -> None:
         """Write the row of this entry whenever it is missing or differs."""
         content = json.dumps(asdict(self._me)).encode()
-        while self._write_requested.wait() and not self._leaving:
+        retry_s = WRITE_RETRY_S
+        while self._write_requested.wait() and not self._leaving.is_set():
             self._write_requested.clear()
             try:
                 with self._store_lock:
                     version = self._store.put(TABLE, self._me.name, content)
             except PlatformError as error:
                 logger.info("row of this entry not written; retrying", error=str(error))
-                self._link.wait_until_reachable(WRITE_RETRY_S)
+                self._pause_write(random.uniform(retry_s / 2, retry_s))
+                retry_s = min(2 * retry_s, WRITE_RETRY_MAX_S)
                 self._write_requested.set()
                 continue
+            retry_s = WRITE_RETRY_S
             with self._lock:
                 self._version_by_name[self._me.name] = version
             logger.info("row of this entry written", version=version)
 
+    def _pause_write(self, pause_s: float) -> None:
+        """Wait for the recovery of the store, or the whole pause if it only refuses."""
+        if self._link.is_reachable():
+            self._leaving.wait(pause_s)
+        else:
+            self._link.wait_until_reachable(pause_s)
+
     def _delete_row(self, name: str, version: int) -> None:
         try:
             with self._store_lock:
