Soak: faults that overlap on an entry start it again once

Cause: two faults that ended the same entry both started it; the first of the new processes was then known to nobody and ran on after the soak. Evidence: test_entry_that_two_faults_ended_is_started_once; the restarts had no common place before. Change: a fault starts an entry only if its process is still the one that it ended.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,7 @@
 
     system: SoakSystem
     stopping: threading.Event
+    _restart_lock: threading.Lock = field(factory=threading.Lock)
     _evacuation_lock: threading.Lock = field(factory=threading.Lock)
 
     def names(self) -> tuple[str, ...]:
@@ -86,10 +87,17 @@
 
     def _kill_entry(self, duration_s: float, rng: random.Random) -> None:
         entry = self._entry(rng)
-        entry.process.kill()
-        entry.process.wait()
+        process = entry.process
+        process.kill()
+        process.wait()
         self._wait(duration_s)
-        entry.restart()
+        self.restart(entry, process)
+
+    def restart(self, entry: EntryProcess, ended: object) -> None:
+        """Start an entry again, unless another fault did since its process ended."""
+        with self._restart_lock:
+            if entry.process is ended:
+                entry.restart()
 
     def _pause_entry(self, duration_s: float, rng: random.Random) -> None:
         entry = self._entry(rng)
@@ -109,8 +117,7 @@
         if status not in (0, -signal.SIGKILL, -signal.SIGTERM):
             detail = f"{entry.name} ended with status {status}"
             self.system.record.add_broken_promise("exit status", detail)
-        if entry.process is process:
-            entry.restart()
+        self.restart(entry, process)
 
     def _impair_store_path(self, duration_s: float, rng: random.Random) -> None:
         proxy = self.system.store_proxy_by_entry[self._entry(rng).name]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,10 @@
 """Short seeded runs of the soak, and tests that its checks detect violations."""
 
+import threading
+
 import pytest
 
+from soak.faults import Faults
 from soak.proxy import PathMode, Proxy
 from soak.record import (
     DRAIN_S,
@@ -36,6 +39,25 @@
     assert plan(3, 20.0, names) != plan(4, 20.0, names)
 
 
+class EndedEntry:
+    """Entry whose process counts its starts."""
+
+    def __init__(self) -> None:
+        self.process, self.starts = object(), 0
+
+    def restart(self) -> None:
+        self.process, self.starts = object(), self.starts + 1
+
+
+def test_entry_that_two_faults_ended_is_started_once() -> None:
+    """The second start left a process that nobody ended."""
+    entry, faults = EndedEntry(), Faults(None, threading.Event())
+    process = entry.process
+    for _ in range(2):
+        faults.restart(entry, process)
+    assert entry.starts == 1
+
+
 def make_record(*sent: SentRequest, runs: tuple[Execution, ...] = ()) -> Record:
     record = Record()
     record.sent.extend(sent)
