Backend servers that leave or ask for a pause get no requests

Two headers are new: Server-Leaving in any answer, and Retry-After with a 503. Nothing read them before. Change: the codec of the platform decodes them into a notice, only from answers that belong to the request; a 421 speaks of another server. Conditions remember it by incarnation, apart from the registry, and pick neither a server that leaves nor one in its pause; health checks rest during a pause. Requests for services of which all servers are closed for longer than they may wait are refused at once, with Retry-After from the end of the first pause, spread at random. The tests were written with the change. Open: the front end of entry reads neither header; the soak sends neither.

--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -3,7 +3,7 @@
 from typing import ClassVar
 
 from dotterelpier.model.evidence import LoadReport
-from dotterelpier.model.instance import LoadFigures
+from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
 
 class DotterelpierError(Exception):
@@ -119,9 +119,13 @@
 
 
 class CallError(DotterelpierError):
-    """Base class of errors that end a call; ``ran`` is True if it may have run."""
+    """Base class of errors that end a call; ``ran`` is True if it may have run.
+
+    ``notice`` is what a backend server asked for beside an answer that is an error.
+    """
 
     code = "call"
+    notice: InstanceNotice = NO_NOTICE
     ran: ClassVar[bool] = False
 
 
--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -72,6 +72,8 @@
         Failed requests, decaying with each later request.
     quarantined_until : float
         End of its quarantine.
+    closed_until : float
+        Until when it asked for no requests, infinite if it leaves.
     """
 
     instance: Instance
@@ -89,6 +91,7 @@
     ended_since: int = 0
     failure_score: float = 0.0
     quarantined_until: float = -math.inf
+    closed_until: float = -math.inf
     _quarantine_s: float = QUARANTINE_FIRST_S
     _cold_tokens: float = COLD_BURST
     _cold_tokens_at: float = -math.inf
@@ -97,6 +100,10 @@
         """Return whether it is verified and reachable, healthy or not."""
         return self.verified and not self.unreachable
 
+    def accepts(self, now: float) -> bool:
+        """Return whether it is usable and did not ask for a pause that still lasts."""
+        return self.usable() and self.closed_until <= now
+
     def is_cold(self, now: float) -> bool:
         """Return whether the cold start that it last reported still lasts."""
         return now < self.cold_until
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -11,9 +11,16 @@
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
 from dotterelpier.fleet.full_load import FullLoadEstimate
+from dotterelpier.fleet.notices import InstanceNotices
 from dotterelpier.fleet.work_time_estimates import WorkTimeEstimates
 from dotterelpier.kernel import Kernel
-from dotterelpier.model.instance import Instance, LoadFigures, Measurement
+from dotterelpier.model.instance import (
+    NO_NOTICE,
+    Instance,
+    InstanceNotice,
+    LoadFigures,
+    Measurement,
+)
 from dotterelpier.model.route import Route
 from dotterelpier.protocols import Clock, ServiceName
 from dotterelpier.protocols.fleet import (
@@ -42,6 +49,7 @@
     _work_time_by_route: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _work_time_by_service: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _full_load: FullLoadEstimate = field(factory=FullLoadEstimate)
+    _notices: InstanceNotices = field(factory=InstanceNotices)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
     _watchers_by_id: dict[str, list[Callable[[], None]]] = field(factory=dict)
@@ -71,11 +79,28 @@
             self._work_time_by_service.keep(table.config_by_service if table else ())
             before = self._condition_by_id
             self._condition_by_id = {
-                item.id: _updated(before.get(item.id), item, now) for item in instances
+                item.id: self._updated(before.get(item.id), item, now)
+                for item in instances
             }
             self._apply_evacuations(instances, now)
             self._changed.notify_all()
 
+    def _updated(
+        self, before: Condition | None, instance: Instance, now: float
+    ) -> Condition:
+        """Return the condition after the row of a backend server was read again.
+
+        A new incarnation starts with a new condition, so it needs a health check.
+        """
+        if before is None or before.instance.started_at_ms != instance.started_at_ms:
+            cold_until = now + instance.cold_remaining_s
+            closed_until = self._notices.closed_until(instance)
+            return Condition(instance, cold_until=cold_until, closed_until=closed_until)
+        if instance.cold_remaining_s > before.instance.cold_remaining_s:
+            before.cold_until = max(before.cold_until, now + instance.cold_remaining_s)
+        before.instance = instance
+        return before
+
     def _apply_evacuations(self, instances: Iterable[Instance], now: float) -> None:
         evacuated = frozenset(
             item.id for item in instances if self._routes.is_evacuated(item.zone)
@@ -114,7 +139,7 @@
             eligible = [
                 item
                 for item in candidates
-                if item.usable()
+                if item.accepts(now)
                 and item.has_room(spare_slots)
                 and item.expected_time(now) * usual_work_s <= remaining_s
                 and self._slow_start_allows(item, now, terms.warmup_per_s)
@@ -172,7 +197,7 @@
             now = self._clock.monotonic()
             return not any(
                 item.instance.zone == zone
-                and item.usable()
+                and item.accepts(now)
                 and item.work_ratio(now) < SLOW_RATIO
                 and item.has_room(spare_slots)
                 for instance_id in self._subsets.ids_by_service().get(service, ())
@@ -180,14 +205,60 @@
                 and instance_id not in self._evacuated_ids
             )
 
+    def closed_until(self, service: str) -> float:
+        """Return until when all backend servers of a service asked for no requests.
+
+        Minus infinity if one of them did not, or none is known. A request that waits
+        for longer than this cannot be served.
+        """
+        with self._changed:
+            ids = self._subsets.ids_by_service().get(service, ())
+            known = [
+                self._condition_by_id[item].closed_until
+                for item in ids
+                if item in self._condition_by_id
+            ]
+            return min(known, default=-math.inf)
+
+    def wants_check(self, instance_id: str) -> bool:
+        """Return whether a backend server did not ask for a pause that still lasts."""
+        with self._changed:
+            condition = self._condition_by_id.get(instance_id)
+            now = self._clock.monotonic()
+            return condition is None or not now < condition.closed_until < math.inf
+
+    def note_notice(self, instance: Instance, notice: InstanceNotice) -> None:
+        """Record what an incarnation of a backend server asked for beside an answer."""
+        if notice is NO_NOTICE:
+            return
+        now = self._clock.monotonic()
+        with self._changed:
+            if not self._notices.note(instance, notice, now):
+                return
+            condition = self._condition_by_id.get(instance.id)
+            same = condition and (
+                condition.instance.started_at_ms == instance.started_at_ms
+            )
+            if condition is not None and same:
+                condition.closed_until = self._notices.closed_until(instance)
+            self._changed.notify_all()
+        logger.info(
+            "backend server leaves" if notice.leaving else "backend server pauses",
+            peer=instance.id,
+            pause_s=round(notice.retry_after_s, 3),
+        )
+
     def wait_for_room(self, timeout_s: float) -> None:
         """Block until there may be more room, or until the timeout.
 
-        A request that ends, a load report and a change of the registry or the routes
-        each end the wait.
+        A request that ends, a load report, a change of the registry or the routes and
+        the end of a pause that a backend server asked for each end the wait.
         """
         with self._changed:
-            self._changed.wait(timeout_s)
+            now = self._clock.monotonic()
+            closed = [item.closed_until for item in self._condition_by_id.values()]
+            opens_at = min((at for at in closed if at > now), default=math.inf)
+            self._changed.wait(min(timeout_s, opens_at - now))
 
     def note_ended(self, instance_id: str, success: bool | None) -> None:
         """Record the end of a request, which may quarantine the backend server.
@@ -310,6 +381,9 @@
             before = (condition.usable(), condition.healthy, condition.is_cold(now))
             condition.apply_report(report, now)
             after = (condition.usable(), condition.healthy, condition.is_cold(now))
+            instance = condition.instance
+        if own:
+            self.note_notice(instance, report.notice)
         if report.load is not None:
             at = measurement.measured_at
             self._apply_load(measurement.instance_id, report.load, at)
@@ -395,7 +469,7 @@
                 if item.instance.id not in in_subset:
                     continue
                 known[zone] += slots
-                if item.usable():
+                if item.accepts(now):
                     usable[zone] = usable.get(zone, 0.0) + item.capacity(now)
         return {
             zone: capacity * total[zone] / known[zone]
@@ -403,20 +477,6 @@
         }
 
 
-def _updated(before: Condition | None, instance: Instance, now: float) -> Condition:
-    """Return the condition after the row of a backend server was read again.
-
-    A new incarnation starts with a new condition, so it needs a health check.
-    """
-    if before is None or before.instance.started_at_ms != instance.started_at_ms:
-        cold_until = now + instance.cold_remaining_s
-        return Condition(instance, cold_until=cold_until)
-    if instance.cold_remaining_s > before.instance.cold_remaining_s:
-        before.cold_until = max(before.cold_until, now + instance.cold_remaining_s)
-    before.instance = instance
-    return before
-
-
 def make_conditions(kernel: Kernel) -> Conditions:
     """Return the service, not yet started."""
     return SharedConditions(
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -31,6 +31,7 @@
 )
 from dotterelpier.fleet.splitting import WeightedSplit
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.instance import NO_NOTICE, InstanceNotice
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
 from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
@@ -169,6 +170,7 @@
                 if not state.inbox.empty():
                     message = "the client closed its connection"
                     raise ClientLeftError(message, step=STEP)
+                self._check_open(ticket)
                 remaining_s = ticket.wait_until - self._clock.monotonic()
                 if remaining_s <= 0:
                     waited_ms = self._ms_since(state.request.arrived_at)
@@ -178,6 +180,20 @@
         finally:
             self._waiting_room.leave(ticket, sent=sent)
 
+    def _check_open(self, ticket: Ticket) -> None:
+        """Refuse a request at once if no backend server wants one while it may wait.
+
+        Raises
+        ------
+        OverloadedError
+            With the time until the first of them wants requests again.
+        """
+        closed_until = self._conditions.closed_until(ticket.service)
+        if closed_until <= ticket.wait_until:
+            return
+        reason = "all backend servers leave or asked for a longer pause"
+        raise self._waiting_room.refusal(ticket, reason, closed_until)
+
     def _send_in_turn(self, state: RequestState, ticket: Ticket) -> bool:
         if self._clock.monotonic() >= ticket.wait_until:
             # A late answer is better than none.
@@ -234,6 +250,7 @@
         except CallError as error:
             self._handle_error(state, attempt, error)
             return None
+        self._note_notice(state, attempt, answer.notice)
         if answer.load is not None:
             self._conditions.note_load(attempt.peer, answer.load)
         failed = answer.status >= FIRST_SERVER_ERROR_STATUS
@@ -249,11 +266,19 @@
         )
         return None
 
+    def _note_notice(
+        self, state: RequestState, attempt: Attempt, notice: InstanceNotice
+    ) -> None:
+        if notice is not NO_NOTICE:
+            self._metrics.count("notices", service=state.service)
+            self._conditions.note_notice(attempt.choice.instance, notice)
+
     def _handle_error(
         self, state: RequestState, attempt: Attempt, error: CallError
     ) -> None:
         error.peer = attempt.peer
         state.error = error
+        self._note_notice(state, attempt, error.notice)
         success: bool | None = False
         if isinstance(error, RefusedError):
             state.refusal_count += 1
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -75,10 +75,13 @@
     def check(
         self, instance: Instance, connection: HealthConnection
     ) -> Measurement | None:
-        """Check a backend server; return None if its service is not configured."""
+        """Check a backend server and return the result.
+
+        Returns None if its service is not configured, or it asked for a pause.
+        """
         table = self._routes.table()
         terms = table.config_by_service.get(instance.service) if table else None
-        if terms is None:
+        if terms is None or not self._conditions.wants_check(instance.id):
             return None
         measurement = self._measure(instance, connection, terms.health_path)
         self._conditions.note_check(measurement)
--- a/dotterelpier/fleet/waiting.py
+++ b/dotterelpier/fleet/waiting.py
@@ -6,6 +6,7 @@
 expected to answer within the objective.
 """
 
+import math
 import random
 import threading
 from bisect import insort
@@ -116,11 +117,21 @@
             if sent:
                 queue.note_sent(self._clock.monotonic())
 
-    def refusal(self, ticket: Ticket, reason: str) -> OverloadedError:
-        """Return the error for a request that was not sent, with the time to retry."""
+    def refusal(
+        self, ticket: Ticket, reason: str, closed_until: float = -math.inf
+    ) -> OverloadedError:
+        """Return the error for a request that was not sent, with the time to retry.
+
+        No backend server wants requests before ``closed_until``, on the monotonic clock
+        in seconds; infinite if it is not known when one does.
+        """
         self._metrics.count("refusals", service=ticket.service)
         error = OverloadedError(reason, step=STEP, peer=ticket.service)
         error.retry_after_s = self._retry_after_s(ticket)
+        closed_s = closed_until - self._clock.monotonic()
+        if 0 < closed_s < math.inf:
+            spread = 1 + RETRY_AFTER_SPREAD * self._random.random()
+            error.retry_after_s = max(error.retry_after_s, closed_s * spread)
         return error
 
     def _retry_after_s(self, ticket: Ticket) -> float:
--- a/dotterelpier/model/instance.py
+++ b/dotterelpier/model/instance.py
@@ -60,6 +60,25 @@
     work_ratio: float = 1.0
 
 
+@frozen
+class InstanceNotice:
+    """What a backend server asks for beside an answer.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it leaves, and wants no further requests.
+    retry_after_s : float
+        For how long it wants nothing from this entry, in seconds; 0 if it did not say.
+    """
+
+    leaving: bool = False
+    retry_after_s: float = 0.0
+
+
+NO_NOTICE = InstanceNotice()
+
+
 @frozen
 class HealthReport:
     """Answer of a backend server to a health check.
@@ -74,12 +93,15 @@
         Load of the server, None if the answer has none.
     cold_remaining_s : float
         Time left of its cold start, in seconds.
+    notice : InstanceNotice
+        What the server asks for.
     """
 
     instance_id: str
     healthy: bool
     load: LoadFigures | None = None
     cold_remaining_s: float = 0.0
+    notice: InstanceNotice = NO_NOTICE
 
 
 @frozen
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -5,7 +5,7 @@
 from attrs import field, frozen
 
 from dotterelpier.model.call import Body, Headers
-from dotterelpier.model.instance import LoadFigures
+from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
 Unsubscribe = Callable[[], None]
 
@@ -79,6 +79,8 @@
         Body of an answer that is too large to be held whole.
     length : int or None
         Declared length of a streamed body in bytes, None if it was not declared.
+    notice : InstanceNotice
+        What the backend server asks for.
     """
 
     status: int
@@ -88,6 +90,7 @@
     load: LoadFigures | None = None
     stream: Body | None = field(default=None, eq=False, repr=False)
     length: int | None = None
+    notice: InstanceNotice = NO_NOTICE
 
 
 @frozen
--- a/dotterelpier/platform/headers.py
+++ b/dotterelpier/platform/headers.py
@@ -1,6 +1,7 @@
 """Codec for the HTTP headers of the platform's clients and backend servers."""
 
 import math
+import re
 from collections.abc import Mapping
 
 from dotterelpier.errors import (
@@ -9,7 +10,13 @@
     RefusedError,
 )
 from dotterelpier.model.call import Headers
-from dotterelpier.model.instance import HealthReport, Instance, LoadFigures
+from dotterelpier.model.instance import (
+    NO_NOTICE,
+    HealthReport,
+    Instance,
+    InstanceNotice,
+    LoadFigures,
+)
 from dotterelpier.model.request import InstanceAnswer, Request
 from dotterelpier.wire.backend import forwardable, wsgi_variable_of
 
@@ -23,9 +30,13 @@
 LOAD_HEADER = "X-Dotterelpier-Server-Load"
 COLD_HEADER = "X-Dotterelpier-Cold-Remaining-Ms"
 NOT_EXECUTED_HEADER = "X-Dotterelpier-Not-Executed"
+LEAVING_HEADER = "server-leaving"
+LEAVING = "1"
+RETRY_AFTER_HEADER = "retry-after"
 
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 # Statuses from which a client concludes that its request has not run.
 NOT_EXECUTED_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
 # The load header gives the work time in percent of the usual work time.
@@ -33,6 +44,7 @@
 
 # Figures above these are not valid. Waits of the operating system are limited too.
 MAX_LOAD_FIGURE = 1 << 31
+SECONDS = re.compile(r"[0-9]{1,400}(\.[0-9]{1,400})?")
 MAX_DURATION_MS = 30 * 24 * 3_600_000
 
 # Headers of a client that the entry replaces with its own.
@@ -102,6 +114,7 @@
             message = f"answer with status {status} has no attempt id"
             raise AnswerLostError(message, step="backend.answer", peer=instance.id)
         load = read_load(value_by_name.get(LOAD_HEADER.lower()))
+        notice = read_notice(status, headers)
         refused = (
             status == STATUS_MISDIRECTED or NOT_EXECUTED_HEADER.lower() in value_by_name
         )
@@ -113,14 +126,18 @@
             )
             refusal.misdirected = status == STATUS_MISDIRECTED
             refusal.load = load
+            refusal.notice = notice
             raise refusal
         signed = SIGNATURE_HEADER.lower() in value_by_name
         if status in NOT_EXECUTED_STATUSES or (status < 300 and not signed):
             message = (
                 f"answer with status {status} cannot be forwarded, signed: {signed}"
             )
-            raise AnswerLostError(message, step="backend.answer", peer=instance.id)
-        return InstanceAnswer(status, forwardable(headers), body, signed, load)
+            lost = AnswerLostError(message, step="backend.answer", peer=instance.id)
+            lost.notice = notice
+            raise lost
+        forwarded = forwardable(headers)
+        return InstanceAnswer(status, forwarded, body, signed, load, notice=notice)
 
     def decode_health(self, status: int, headers: Headers) -> HealthReport:
         """Return the health report of an answer; only status 200 counts as healthy."""
@@ -130,6 +147,7 @@
             status == STATUS_OK,
             read_load(value_by_name.get(LOAD_HEADER.lower())),
             _milliseconds(value_by_name.get(COLD_HEADER.lower())),
+            read_notice(status, headers),
         )
 
     def attempt_id(self, value_by_variable: Mapping[str, str]) -> str:
@@ -148,6 +166,35 @@
         return min(value, MAX_DURATION_MS) / 1000 if 0 < value < math.inf else None
 
 
+def read_notice(status: int, headers: Headers) -> InstanceNotice:
+    """Return what a backend server asks for in an answer.
+
+    A misdirected request was answered by another server than the one meant, so such an
+    answer asks for nothing. Of several ``Retry-After`` headers the longest time counts;
+    dates and other values that are not a number of seconds do not, as the clocks of
+    servers differ.
+    """
+    if status == STATUS_MISDIRECTED:
+        return NO_NOTICE
+    leaving, retry_after_s = False, 0.0
+    for name, value in headers:
+        lower = name.lower()
+        if lower == LEAVING_HEADER:
+            leaving = leaving or value == LEAVING
+        elif lower == RETRY_AFTER_HEADER and status == STATUS_UNAVAILABLE:
+            retry_after_s = max(retry_after_s, _seconds(value))
+    if not leaving and not retry_after_s:
+        return NO_NOTICE
+    return InstanceNotice(leaving, retry_after_s)
+
+
+def _seconds(text: str) -> float:
+    """Return a number of seconds from a header, 0 if it is none; limit it."""
+    if not SECONDS.fullmatch(text):
+        return 0.0
+    return min(float(text), MAX_DURATION_MS / 1000)
+
+
 def read_load(text: str | None) -> LoadFigures | None:
     """Return the load from a header, None if it is missing or not valid.
 
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -208,8 +208,14 @@
         """Remove a request, which was sent to a backend server or gave up."""
         ...
 
-    def refusal(self, ticket: Ticket, reason: str) -> OverloadedError:
-        """Return the error for a request that was not sent, with the time to retry."""
+    def refusal(
+        self, ticket: Ticket, reason: str, closed_until: float = float("-inf")
+    ) -> OverloadedError:
+        """Return the error for a request that was not sent, with the time to retry.
+
+        No backend server wants requests before ``closed_until``, on the monotonic clock
+        in seconds; infinite if it is not known when one does.
+        """
         ...
 
 
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -11,6 +11,7 @@
 from dotterelpier.model.fleet import Announcement, FleetMember, StoreReply
 from dotterelpier.model.instance import (
     Instance,
+    InstanceNotice,
     LoadFigures,
     Measurement,
 )
@@ -182,6 +183,21 @@
         """
         ...
 
+    def closed_until(self, service: str) -> float:
+        """Return until when all backend servers of a service asked for no requests.
+
+        Minus infinity if one of them did not, or none is known.
+        """
+        ...
+
+    def wants_check(self, instance_id: str) -> bool:
+        """Return whether a backend server did not ask for a pause that still lasts."""
+        ...
+
+    def note_notice(self, instance: Instance, notice: InstanceNotice) -> None:
+        """Record what an incarnation of a backend server asked for beside an answer."""
+        ...
+
     def note_answer(self, route: Route, choice: "Choice", duration_s: float) -> None:
         """Update the work time estimate of a route after a successful answer.
 
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -69,6 +69,11 @@
     "retries_denied": MetricDeclaration(
         Counter, "Further attempts that the retry budget denied.", ("service",)
     ),
+    "notices": MetricDeclaration(
+        Counter,
+        "Answers in which a backend server leaves or asks for a pause.",
+        ("service",),
+    ),
     "answers": MetricDeclaration(
         Counter, "Answers to clients by class of status.", ("status",)
     ),
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -47,6 +47,9 @@
     def usual_work_s(self, service: str) -> float:
         return self.work_s
 
+    def wants_check(self, instance_id: str) -> bool:
+        return True
+
 
 @define
 class Subsets:
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -13,10 +13,14 @@
     ConfigError,
     RefusedError,
 )
-from dotterelpier.model.instance import Instance, LoadFigures
+from dotterelpier.model.instance import NO_NOTICE, Instance, LoadFigures
 from dotterelpier.model.request import Request
 from dotterelpier.platform.codec import MAX_SLOTS, make_store_codec
-from dotterelpier.platform.headers import make_platform_headers, read_load
+from dotterelpier.platform.headers import (
+    make_platform_headers,
+    read_load,
+    read_notice,
+)
 from tests.fleet_system import (
     ATTEMPT_ID_HEADER,
     SIGNATURE_HEADER,
@@ -385,3 +389,70 @@
     timeout_s = HEADERS.client_timeout_s({"HTTP_X_DOTTERELPIER_DEADLINE_MS": text})
     for duration_s in (cold_s, timeout_s or 0.0):
         assert duration_s < threading.TIMEOUT_MAX
+
+
+def notice_of(status: int, *headers: tuple[str, str]):
+    return read_notice(status, headers)
+
+
+@pytest.mark.parametrize(
+    ("value", "pause_s"),
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        ("0", 0.0),
+        ("-1", 0.0),
+        ("1e3", 0.0),
+        ("nan", 0.0),
+        ("", 0.0),
+        ("soon", 0.0),
+        ("\u0661", 0.0),
+        ("Sat, 05 Dec 2026 12:00:00 GMT", 0.0),
+        ("9" * 400, 30 * 24 * 3600.0),
+        ("9" * 5000, 0.0),
+    ],
+)
+def test_pause_that_a_server_asks_for_is_decoded(value, pause_s) -> None:
+    assert notice_of(503, ("Retry-After", value)).retry_after_s == pause_s
+
+
+def test_longest_of_several_pauses_counts() -> None:
+    headers = [("Retry-After", value) for value in ("1", "x", "3", "2")]
+    assert notice_of(503, *headers).retry_after_s == 3.0
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_server_that_is_unavailable_asks_for_a_pause(status) -> None:
+    assert notice_of(status, ("Retry-After", "2")) == NO_NOTICE
+
+
+@pytest.mark.parametrize("status", [200, 404, 429, 500, 503])
+def test_leaving_server_says_so_in_any_answer(status) -> None:
+    assert notice_of(status, ("server-leaving", "1")).leaving
+    assert not notice_of(status, ("Server-Leaving", "0")).leaving
+
+
+def test_misdirected_request_says_nothing_of_the_server_that_was_meant() -> None:
+    headers = (("Server-Leaving", "1"), ("Retry-After", "5"))
+    assert notice_of(421, *headers) == NO_NOTICE
+
+
+@pytest.mark.parametrize("status", [200, 500, 503, 429])
+@pytest.mark.parametrize("not_executed", [True, False])
+def test_notice_comes_with_every_answer_to_the_request(status, not_executed) -> None:
+    headers = [(ATTEMPT_ID_HEADER, "try-1"), ("Server-Leaving", "1")]
+    if not_executed:
+        headers.append(("X-Dotterelpier-Not-Executed", "1"))
+    try:
+        notice = HEADERS.decode_answer(status, headers, b"", REQUEST, INSTANCE).notice
+    except (RefusedError, AnswerLostError) as error:
+        notice = error.notice
+    assert notice.leaving
+
+
+@pytest.mark.parametrize("echoed", [(), ((ATTEMPT_ID_HEADER, "other"),)])
+def test_notice_of_an_answer_to_no_request_is_ignored(echoed) -> None:
+    headers = (*echoed, ("Server-Leaving", "1"), ("Retry-After", "5"))
+    with pytest.raises((AnswerLostError, AnswerMismatchError)) as raised:
+        HEADERS.decode_answer(503, headers, b"", REQUEST, INSTANCE)
+    assert raised.value.notice == NO_NOTICE
