A notice in a health check counts whether or not its other results do

Cause: the result of a check that was sent before the last failure is dropped, and the notice in it was dropped too. Change: whoever checks notes the notice of the incarnation that was checked.

--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -381,9 +381,6 @@
             before = (condition.usable(), condition.healthy, condition.is_cold(now))
             condition.apply_report(report, now)
             after = (condition.usable(), condition.healthy, condition.is_cold(now))
-            instance = condition.instance
-        if own:
-            self.note_notice(instance, report.notice)
         if report.load is not None:
             at = measurement.measured_at
             self._apply_load(measurement.instance_id, report.load, at)
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -85,6 +85,8 @@
             return None
         measurement = self._measure(instance, connection, terms.health_path)
         self._conditions.note_check(measurement)
+        if measurement.report is not None:
+            self._conditions.note_notice(instance, measurement.report.notice)
         self._metrics.count(
             "probes",
             service=instance.service,
