--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -11,7 +11,7 @@
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
 from dotterelpier.fleet.full_load import FullLoadEstimate
-from dotterelpier.fleet.notices import InstanceNotices
+from dotterelpier.fleet.notices import InstanceNotices, is_same_incarnation
 from dotterelpier.fleet.work_time_estimates import WorkTimeEstimates
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import (
@@ -92,7 +92,7 @@
 
         A new incarnation starts with a new condition, so it needs a health check.
         """
-        if before is None or before.instance.started_at_ms != instance.started_at_ms:
+        if before is None or not is_same_incarnation(before.instance, instance):
             cold_until = now + instance.cold_remaining_s
             closed_until = self._notices.closed_until(instance)
             return Condition(instance, cold_until=cold_until, closed_until=closed_until)
@@ -236,10 +236,7 @@
             if not self._notices.note(instance, notice, now):
                 return
             condition = self._condition_by_id.get(instance.id)
-            same = condition and (
-                condition.instance.started_at_ms == instance.started_at_ms
-            )
-            if condition is not None and same:
+            if condition and is_same_incarnation(condition.instance, instance):
                 condition.closed_until = self._notices.closed_until(instance)
             self._changed.notify_all()
         logger.info(
--- a/dotterelpier/fleet/notices.py
+++ b/dotterelpier/fleet/notices.py
@@ -18,6 +18,11 @@
     return instance.id, instance.started_at_ms
 
 
+def is_same_incarnation(first: Instance, second: Instance) -> bool:
+    """Return whether two registrations are of one incarnation."""
+    return incarnation_of(first) == incarnation_of(second)
+
+
 @define
 class InstanceNotices:
     """Remembers what each incarnation asked for, whatever its registration says.
