--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -92,6 +92,28 @@
     change_ms : float
         Time within which a change of the configuration must be in force, in
         milliseconds.
+    expose_share : float
+        Limit of the requests that a bad release gets during a roll-out, as a share of
+        the requests of its service.
+    expose_slack : float
+        Requests that it may get above that share, from all entries together.
+    rollback_ms : float
+        Time from the 50th bad answer of a release until it gets no more requests, in
+        milliseconds.
+    revoke_ms : float
+        Time within which a withdrawn key is refused everywhere, in milliseconds.
+    fail_closed : bool
+        Whether an entry refuses all requests that need a key while its configuration
+        may be older than ``revoke_ms``.
+    cap_window_s : float
+        Window in which the usage caps of client accounts hold, in seconds.
+    cap_over : float
+        Requests above a usage cap that are tolerated, as a share of the cap.
+    cap_slack : float
+        Requests above that share that are tolerated.
+    hedge_share : float
+        Limit of hedged requests as a share of the requests of a service. With 0, an
+        idempotent request is hedged after a fixed share of its objective.
     """
 
     grace_s: float = field(default=6.0, validator=[gt(0), le(600)])
@@ -101,6 +123,15 @@
     directory_age_max_s: float = field(default=5.0, validator=[gt(0), le(3600)])
     probes_per_s: float = field(default=60.0, validator=[gt(0), le(1000)])
     change_ms: float = field(default=2000.0, validator=[ge(500), le(60_000)])
+    expose_share: float = field(default=0.1, validator=[ge(0), le(1)])
+    expose_slack: float = field(default=50.0, validator=[ge(0)])
+    rollback_ms: float = field(default=5000.0, validator=[ge(500), le(600_000)])
+    revoke_ms: float = field(default=5000.0, validator=[ge(500), le(600_000)])
+    fail_closed: bool = False
+    cap_window_s: float = field(default=5.0, validator=[gt(0), le(600)])
+    cap_over: float = field(default=0.1, validator=[ge(0), le(1)])
+    cap_slack: float = field(default=20.0, validator=[ge(0)])
+    hedge_share: float = field(default=0.0, validator=[ge(0), le(0.5)])
 
 
 @frozen
--- a/dotterelpier/model/instance.py
+++ b/dotterelpier/model/instance.py
@@ -26,6 +26,8 @@
     started_at_ms : int
         Start of the process in Unix milliseconds, 0 if unknown. The id and the
         start identify the incarnation.
+    release : str
+        Release of the software that it runs, empty if unknown.
     """
 
     id: str
@@ -36,6 +38,7 @@
     draining: bool = False
     cold_remaining_s: float = 0.0
     started_at_ms: int = 0
+    release: str = ""
 
 
 @frozen
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -119,6 +119,7 @@
             draining=state == "draining",
             cold_remaining_s=cold_ms / 1000,
             started_at_ms=fields.get("born", _integer, 0),
+            release=info.get("version", _text, ""),
         )
 
 
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -331,6 +331,10 @@
 
     MEASUREMENTS = b"m"
     ANNOUNCEMENT = b"a"
+    ROLLOUT_REPORT = b"r"
+    ROLLOUT_SHARE = b"s"
+    GRANT_REQUEST = b"g"
+    GRANT_REPLY = b"h"
 
 
 class Datagrams(Protocol):
