Servers elsewhere are checked often only for services in demand

Cause: while the own zone lacks room for a service, an entry checks four servers of other zones four times a second. An entry that gets a request for the service every few seconds never uses these results before they are outdated, and each check costs bytes between zones.

Change: they run only while requests for the service come at least once in the time for which a load report counts.

--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -9,7 +9,8 @@
 
 from dotterelpier.fleet.capacity import capacity_by_zone
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
-from dotterelpier.fleet.condition import SLOW_RATIO, Condition
+from dotterelpier.fleet.condition import LOAD_FRESH_S, SLOW_RATIO, Condition
+from dotterelpier.fleet.demand import RequestTimes
 from dotterelpier.fleet.full_load import FullLoadEstimate
 from dotterelpier.fleet.notices import InstanceNotices, is_same_incarnation
 from dotterelpier.fleet.work_time_estimates import WorkTimeEstimates
@@ -50,6 +51,7 @@
     _work_time_by_service: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _full_load: FullLoadEstimate = field(factory=FullLoadEstimate)
     _notices: InstanceNotices = field(factory=InstanceNotices)
+    _request_times: RequestTimes = field(factory=RequestTimes)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
     _watchers_by_id: dict[str, list[Callable[[], None]]] = field(factory=dict)
@@ -76,7 +78,9 @@
             routes = table.route_names() if table else frozenset()
             self._work_time_by_route.keep(routes)
             self._full_load.keep(routes)
-            self._work_time_by_service.keep(table.config_by_service if table else ())
+            services = table.config_by_service if table else ()
+            self._work_time_by_service.keep(services)
+            self._request_times.keep(services)
             before = self._condition_by_id
             self._condition_by_id = {
                 item.id: self._updated(before.get(item.id), item, now)
@@ -186,6 +190,17 @@
         self._changed.notify_all()
         return chosen
 
+    def note_request(self, service: str) -> None:
+        """Record that a client asked for a service."""
+        with self._changed:
+            self._request_times.note(service, self._clock.monotonic())
+
+    def is_in_demand(self, service: str) -> bool:
+        """Return whether a load report is likely to be used before it is outdated."""
+        with self._changed:
+            now = self._clock.monotonic()
+            return self._request_times.is_frequent(service, LOAD_FRESH_S, now)
+
     def lacks_room(self, service: str) -> bool:
         """Return whether no backend server of the own zone is fast and has a free slot.
 
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -120,6 +120,7 @@
         self._drain_window.check(request.arrived_at, deadline_at)
         service = self._split.choose(route)
         self._budget.note_request(service)
+        self._conditions.note_request(service)
         return RequestState(request, route, table.version, service, deadline_at)
 
     def _run_attempts(self, state: RequestState) -> Reply:
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -323,7 +323,9 @@
     def _overflow_ids(self, plans: tuple[CheckPlan, ...]) -> frozenset[str]:
         """Return the servers elsewhere to send to while the own zone lacks room.
 
-        Each entry has its own order, so that they do not all choose the same few.
+        Each entry has its own order, so that they do not all choose the same few. For
+        a service that clients of this entry rarely ask for, the results would be
+        outdated before the next request, and traffic between zones is billed.
         """
         distant_by_service: dict[str, list[Instance]] = {}
         for plan in plans:
@@ -333,6 +335,8 @@
         own_name = self._fleet.me().name
         chosen: set[str] = set()
         for service, distant in distant_by_service.items():
+            if not self._conditions.is_in_demand(service):
+                continue
             if self._conditions.lacks_room(service):
                 distant.sort(key=lambda item: weight(own_name, item.id))
                 chosen.update(item.id for item in distant[:OVERFLOW_SERVERS])
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -212,6 +212,14 @@
         """
         ...
 
+    def note_request(self, service: str) -> None:
+        """Record that a client asked for a service."""
+        ...
+
+    def is_in_demand(self, service: str) -> bool:
+        """Return whether a load report is likely to be used before it is outdated."""
+        ...
+
     def lacks_room(self, service: str) -> bool:
         """Return whether no backend server of the own zone is fast and has a free slot.
 
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -195,6 +195,18 @@
     assert conditions.lacks_room("svc")
 
 
+def test_service_is_in_demand_while_requests_come_before_reports_are_outdated() -> None:
+    conditions, clock, _, _ = conditions_of(instance(1))
+    conditions.note_request("svc")
+    assert not conditions.is_in_demand("svc")
+    clock.advance(1.0)
+    conditions.note_request("svc")
+    assert conditions.is_in_demand("svc")
+    assert not conditions.is_in_demand("other")
+    clock.advance(1.0)
+    assert not conditions.is_in_demand("svc")
+
+
 def test_last_slot_is_left_free_while_another_server_has_more() -> None:
     conditions, clock, _, _ = conditions_of(instance(1), instance(2))
     for item in (instance(1), instance(2)):
--- a/tests/test_fleet_prober.py
+++ b/tests/test_fleet_prober.py
@@ -34,6 +34,10 @@
     fresh_ids: set[str] = field(factory=set)
     work_s: float = 0.0
     lacking: set[str] = field(factory=set)
+    rare: set[str] = field(factory=set)
+
+    def is_in_demand(self, service: str) -> bool:
+        return service not in self.rare
 
     def lacks_room(self, service: str) -> bool:
         return service in self.lacking
@@ -199,6 +203,15 @@
     assert len(checks_within(prober, clock, tasks, 2.0)) <= 1
 
 
+def test_rarely_requested_service_is_not_checked_often_in_other_zones() -> None:
+    """Guards against checks that cost more between zones than a request earns."""
+    prober, clock, tasks, conditions = prober_of(OTHER_ZONE)
+    conditions.verified_ids.add("other")
+    conditions.lacking.add("shop")
+    conditions.rare.add("shop")
+    assert len(checks_within(prober, clock, tasks, 2.0)) <= 1
+
+
 def test_only_a_few_servers_elsewhere_are_checked_often() -> None:
     distant = tuple(
         evolve(OTHER_ZONE, id=f"other-{number}", address=f"x:{number}")
