Verified servers elsewhere are checked each 30 s instead of each 8 s

Cause: half of the checks between zones only verified that servers can be reached which get requests when the own zone lacks room. Registrations show when they leave, and a request to one that cannot be reached is sent elsewhere.

Change: the interval, and the connection is closed in between, as servers close idle ones after 10 s; it is kept while the own zone lacks room.

--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -37,8 +37,9 @@
 HOME_INTERVAL_WORK_SHARE = 0.5
 SAME_ZONE_INTERVAL_S = 0.25
 # Backend servers of other zones get requests only if this zone lacks room. These checks
-# verify that they can be reached; their registrations show when they leave.
-OTHER_ZONE_INTERVAL_S = 8.0
+# verify that they can be reached; their registrations show when they leave. A check
+# between zones costs more in bytes than the new connection that it needs after so long.
+OTHER_ZONE_INTERVAL_S = 30.0
 # While the own zone lacks room for a service, requests go to other zones, so the load
 # of their backend servers must be known.
 OVERFLOW_INTERVAL_S = 0.25
@@ -317,7 +318,9 @@
         overflow_ids = self._overflow_ids(plans)
         for plan in plans:
             overflows = plan.instance.id in overflow_ids
-            if self._is_due(plan, now, overflows) and not self._start_check(plan, now):
+            if not self._is_due(plan, now, overflows):
+                continue
+            if not self._start_check(plan, now, overflows):
                 return
 
     def _overflow_ids(self, plans: tuple[CheckPlan, ...]) -> frozenset[str]:
@@ -357,8 +360,9 @@
         fresh_s = OVERFLOW_INTERVAL_S if overflows else PEER_RESULT_FRESH_S
         return self._conditions.needs_check(instance_id, fresh_s)
 
-    def _start_check(self, plan: CheckPlan, now: float) -> bool:
+    def _start_check(self, plan: CheckPlan, now: float, overflows: bool) -> bool:
         """Check a backend server in a task; return False if too many checks run."""
+        kept = overflows or plan.interval_s <= KEPT_CONNECTION_INTERVAL_S
         instance_id = plan.instance.id
         with self._lock:
             if instance_id in self._running_ids:
@@ -368,28 +372,30 @@
             self._running_ids.add(instance_id)
             self._checked_at_by_id[instance_id] = now
         try:
-            self._tasks.submit(TaskKind.MEASURE, self._check_once, plan)
+            self._tasks.submit(TaskKind.MEASURE, self._check_once, plan, kept)
         except TaskPoolFullError:
             with self._lock:
                 self._running_ids.discard(instance_id)
             return False
         return True
 
-    def _check_once(self, plan: CheckPlan) -> None:
+    def _check_once(self, plan: CheckPlan, kept: bool) -> None:
+        """Check a backend server; ``kept`` is whether its connection is used again."""
         instance = plan.instance
         with self._lock:
             connection = self._connection_by_id.pop(instance.id, None)
         if connection is None:
             connection = self._instances.health_connection(instance)
-        kept = False
+        succeeded = False
         try:
             self._checks.check(instance, connection)
-            kept = plan.interval_s <= KEPT_CONNECTION_INTERVAL_S
+            succeeded = True
         finally:
             with self._lock:
                 self._running_ids.discard(instance.id)
                 current = self._plan_by_id.get(instance.id)
-                if kept and current and not _moved(instance, current.instance):
+                reusable = kept and succeeded and current
+                if reusable and not _moved(instance, reusable.instance):
                     self._connection_by_id[instance.id] = connection
                     connection = None
             if connection is not None:
