Client accounts: requests need a key that is known by its digest

Change: where the configuration has tenants, a request needs a key of an account, except on public routes; without one it is refused with 401 and has not run. Backend servers get the name of the account and never the key. The keys in the configuration row are replaced by digests where the row is read from the store; a row that is not understood is passed on empty. The key is looked up again before a request is sent from the waiting room, and before it is sent again. With fail_closed, requests that need a key get 503 once the configuration may be older than revoke_ms.

--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -159,6 +159,18 @@
     code = "route_faulty"
 
 
+class UnknownKeyError(CallError):
+    """The request needs the key of an account, and has none that is known."""
+
+    code = "unknown_key"
+
+
+class ConfigurationStaleError(CallError):
+    """The configuration may be outdated, so keys that it knows may be withdrawn."""
+
+    code = "configuration_stale"
+
+
 class ClientLeftError(CallError):
     """The client closed its connection before its answer was ready."""
 
--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -129,6 +129,7 @@
             )
         if reply.version >= 0:
             self._cursor = reply.version
+            self._mirrors.note_applied(self.table, reply.version)
         if any(row.value is not None for row in reply.rows):
             self._stopped.wait(self.batch_pause_s)
 
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -5,7 +5,7 @@
 
 from queue import Empty
 
-from attrs import define, field
+from attrs import define, evolve, field
 from loguru import logger
 
 from dotterelpier.errors import (
@@ -13,6 +13,7 @@
     AnswerTimeoutError,
     CallError,
     ClientLeftError,
+    ConfigurationStaleError,
     ConnectFailedError,
     NoManifestError,
     NoRouteError,
@@ -20,6 +21,7 @@
     RefusedError,
     RouteFaultyError,
     TaskPoolFullError,
+    UnknownKeyError,
 )
 from dotterelpier.fleet.request_state import (
     Answered,
@@ -36,12 +38,12 @@
 from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
+    Accounts,
     Conditions,
     DrainWindow,
     Forwarding,
     Instances,
     RetryBudget,
-    Routes,
     WaitingRoom,
 )
 
@@ -68,7 +70,7 @@
 
     _clock: Clock
     _metrics: Metrics
-    _routes: Routes
+    _accounts: Accounts
     _conditions: Conditions
     _instances: Instances
     _budget: RetryBudget
@@ -101,7 +103,8 @@
         return reply
 
     def _begin(self, request: Request) -> RequestState:
-        table = self._routes.table()
+        timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
+        table = self._accounts.table(request.arrived_at + timeout_s)
         if table is None:
             raise NoManifestError("no configuration is known yet", step=STEP)
         route = table.match(request.host, request.path)
@@ -110,17 +113,39 @@
                 f"no route for {request.host!r} in configuration {table.version}",
                 step=STEP,
             )
+        account = self._accounts.identify(table, route, request.credential)
         if not route.shares:
             message = f"route {route.name!r} is not understood"
             raise RouteFaultyError(message, step=STEP)
-        timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
         if route.timeout_s is not None:
             timeout_s = min(timeout_s, route.timeout_s)
         deadline_at = request.arrived_at + timeout_s
         self._drain_window.check(request.arrived_at, deadline_at)
         service = self._split.choose(route)
         self._budget.note_request(service)
-        return RequestState(request, route, table.version, service, deadline_at)
+        if account is not None:
+            request = evolve(request, account=account)
+        return RequestState(request, route, table, service, deadline_at)
+
+    def _identify_again(self, state: RequestState) -> None:
+        """Identify the account again if the configuration changed since.
+
+        A request whose key was withdrawn while it waited must not be sent.
+
+        Raises
+        ------
+        UnknownKeyError, ConfigurationStaleError
+            If its key is not accepted any more.
+        """
+        table = self._accounts.table(state.deadline_at)
+        if table is None or table is state.table:
+            return
+        credential = state.request.credential
+        account = self._accounts.identify(table, state.route, credential)
+        state.table = table
+        # Without accounts the headers would be forwarded as they are, with the key.
+        if account is not None:
+            state.request = evolve(state.request, account=account)
 
     def _run_attempts(self, state: RequestState) -> Reply:
         self._send_first(state)
@@ -195,6 +220,7 @@
         raise self._waiting_room.refusal(ticket, reason, closed_until)
 
     def _send_in_turn(self, state: RequestState, ticket: Ticket) -> bool:
+        self._identify_again(state)
         if self._clock.monotonic() >= ticket.wait_until:
             # A late answer is better than none.
             return self._send(state)
@@ -314,6 +340,10 @@
             return False
         if self._clock.monotonic() + MIN_ATTEMPT_S > state.deadline_at:
             return False
+        try:
+            self._identify_again(state)
+        except (UnknownKeyError, ConfigurationStaleError):
+            return False
         if not self._budget.try_withdraw(state.service):
             self._metrics.count("retries_denied", service=state.service)
             return False
@@ -381,7 +411,7 @@
             "attempt sent",
             request=state.request.id,
             route=state.route.name,
-            version=state.version,
+            version=state.table.version,
             service=state.service,
             peer=attempt.peer,
             zone=choice.instance.zone,
@@ -402,13 +432,15 @@
         fields = {
             "request": state.request.id,
             "route": state.route.name,
-            "version": state.version,
+            "version": state.table.version,
             "service": state.service,
             "outcome": outcome,
             "status": status,
             "tried": len(state.tried),
             "duration_ms": self._ms_since(state.request.arrived_at),
         }
+        if state.request.account is not None:
+            fields["account"] = state.request.account.name
         if error is None:
             logger.info("request answered", **fields)
             return
@@ -439,7 +471,7 @@
     return DirectForwarding(
         kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.METRICS, Metrics),
-        kernel.find(ServiceName.ROUTES, Routes),
+        kernel.find(ServiceName.ACCOUNTS, Accounts),
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
--- a/dotterelpier/fleet/mirrors.py
+++ b/dotterelpier/fleet/mirrors.py
@@ -15,6 +15,7 @@
 from dotterelpier.errors import PeerUnavailableError
 from dotterelpier.fleet.announcements import ReceivedAnnouncement, make_received
 from dotterelpier.fleet.delivery_check import DeliveryCheck
+from dotterelpier.fleet.freshness import Freshness
 from dotterelpier.fleet.mirror import TableMirror
 from dotterelpier.fleet.publishers import publisher_names
 from dotterelpier.fleet.seeds import SeedQueries, make_seed_queries
@@ -71,6 +72,7 @@
     _watched_tables: set[str] = field(factory=set)
     _store_answered_at: float = float("-inf")
     _deliveries: DeliveryCheck = field(factory=DeliveryCheck)
+    _freshness: Freshness = field(factory=Freshness)
     _is_publisher: bool = True
     _had_other_publisher: bool = False
     _next_distant: int = 0
@@ -133,8 +135,10 @@
             tables = self._watched_tables.union(
                 *(item.versions_by_table for item in caught_up)
             )
-        store_age_s = self._clock.monotonic() - current_at
-        if store_age_s >= self._max_staleness_s():
+        now = self._clock.monotonic()
+        store_age_s = now - current_at
+        doubtful = self._freshness.is_doubtful(now)
+        if doubtful or store_age_s >= self._max_staleness_s():
             message = "copies of the tables may be outdated"
             name = self._fleet().me().name
             raise PeerUnavailableError(message, step=STEP, peer=name)
@@ -165,6 +169,7 @@
             if is_store_probe:
                 now = self._store_answered_at = self._clock.monotonic()
                 self._deliveries.note_store_version(reply.version, now)
+                self._freshness.note_store_answer(table, reply.version, now)
             self._watched_tables.add(table)
         if reply.rows:
             self._announce_now.set()
@@ -174,6 +179,18 @@
         with self._changed:
             self._watched_tables.discard(table)
 
+    def note_applied(self, table: str, version: int) -> None:
+        """Record that the changes of a table up to a version are in force here."""
+        self._freshness.note_applied(table, version)
+
+    def confirmed_at(self, table: str) -> float:
+        """Return the last time at which no change of a table was missing here."""
+        return self._freshness.confirmed_at(table)
+
+    def wait_after_freeze(self, table: str, until: float) -> None:
+        """Block while a table may be outdated as this process was frozen."""
+        self._freshness.wait_after_freeze(table, self._clock.monotonic(), until)
+
     def changes(self, table: str, after: int) -> StoreReply:
         """Return the changes of a table after a version from the copy held here."""
         with self._changed:
@@ -321,7 +338,9 @@
         self._note(member, announcement)
 
     def _note(self, member: FleetMember, announcement: Announcement) -> None:
-        received = make_received(member, announcement, self._clock.monotonic())
+        now = self._clock.monotonic()
+        received = make_received(member, announcement, now)
+        self._freshness.note_announcement(received, now)
         with self._changed:
             before = self._received_by_sender.get(member.name)
             self._received_by_sender[member.name] = received
@@ -333,6 +352,7 @@
         while not self._stopped:
             self._announce_now.wait(ANNOUNCE_INTERVAL_S)
             self._announce_now.clear()
+            self._freshness.note_turn(self._clock.monotonic())
             self._drop_stale_announcements()
             self._check_deliveries()
             store_age_s = self._clock.monotonic() - self._store_answered_at
--- a/dotterelpier/fleet/request_state.py
+++ b/dotterelpier/fleet/request_state.py
@@ -7,7 +7,7 @@
 
 from dotterelpier.errors import CallError
 from dotterelpier.model.request import InstanceAnswer, Request
-from dotterelpier.model.route import Route
+from dotterelpier.model.route import Route, RouteTable
 from dotterelpier.protocols.fleet import Choice, InstanceExchange
 
 
@@ -73,8 +73,8 @@
         What the client sent.
     route : Route
         Its route.
-    version : int
-        Version of the configuration that holds the route.
+    table : RouteTable
+        Configuration by which the account of the request was last identified.
     service : str
         Service chosen among those of the route.
     deadline_at : float
@@ -99,7 +99,7 @@
 
     request: Request
     route: Route
-    version: int
+    table: RouteTable
     service: str
     deadline_at: float
     inbox: "SimpleQueue[Event]" = field(factory=SimpleQueue)
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -12,6 +12,7 @@
 from dotterelpier.clients.datagrams import make_datagrams
 from dotterelpier.clients.fleet_peers import make_fleet_peers
 from dotterelpier.clients.instances import make_instances
+from dotterelpier.fleet.accounts import make_accounts
 from dotterelpier.fleet.conditions import make_conditions
 from dotterelpier.fleet.directory import make_entry_directory
 from dotterelpier.fleet.drain_window import make_drain_window
@@ -169,7 +170,13 @@
     kernel.register(ServiceName.RETRY_BUDGET, budget, (ServiceName.FLEET,))
     kernel.register(ServiceName.WAITING_ROOM, make_waiting_room(kernel))
     kernel.register(ServiceName.DRAIN_WINDOW, make_drain_window())
-    dependencies: tuple[str, ...] = (ServiceName.CONDITIONS, ServiceName.RETRY_BUDGET)
+    dependencies: tuple[str, ...] = (ServiceName.ROUTES,)
+    kernel.register(ServiceName.ACCOUNTS, make_accounts(kernel), dependencies)
+    dependencies = (
+        ServiceName.CONDITIONS,
+        ServiceName.RETRY_BUDGET,
+        ServiceName.ACCOUNTS,
+    )
     kernel.register(ServiceName.FORWARDING, make_forwarding(kernel), dependencies)
     stop = make_planned_stop(kernel)
     kernel.register(ServiceName.PLANNED_STOP, stop, (ServiceName.FORWARDING,))
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -46,7 +46,10 @@
 # Share of the memory of the VM for bodies of requests. Each is held up to three times:
 # received, forwarded and written.
 BODY_MEMORY_SHARE = 0.2
+STATUS_UNAUTHORIZED = 401
 STATUS_UNAVAILABLE = 503
+# An answer with status 401 must state a scheme (RFC 9110, section 15.5.2).
+CHALLENGE = "ApiKey"
 # A backend server works on a request for about this long, so a slot is free by then.
 RETRY_AFTER_S = 0.2
 STATUSES_WITHOUT_LENGTH = frozenset({204, 304})
@@ -98,16 +101,18 @@
         if not target.startswith("/"):
             raise InvalidCallError("the path must start with '/'", step=STEP)
         host = str(environ.get("HTTP_HOST", ""))
+        headers = self._codec.without_credential(request_headers(environ))
         return Request(
             request_id,
             environ["REQUEST_METHOD"],
             host.partition(":")[0].lower(),
             target,
-            ((HOST_HEADER, host), *forwardable(request_headers(environ))),
+            ((HOST_HEADER, host), *forwardable(headers)),
             environ["wsgi.input"].read(),
             environ[ARRIVED_AT],
             self._codec.client_timeout_s(environ),
             environ[ON_CLIENT_LEFT],
+            self._codec.credential(environ),
         )
 
     def _problem_reply(self, environ: Environ, error: DotterelpierError) -> Reply:
@@ -125,6 +130,8 @@
             ("Content-Type", CONTENT_TYPE),
             (OUTCOME_HEADER, problem_outcome(error).value),
         ]
+        if status == STATUS_UNAUTHORIZED:
+            headers.append(("WWW-Authenticate", CHALLENGE))
         if status == STATUS_UNAVAILABLE:
             headers.append(("Retry-After", f"{_retry_after_s(error):.2f}"))
         return Reply(status, tuple(headers), problem_body(error))
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from dotterelpier.model.account import Account
 from dotterelpier.model.call import Body, Headers
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
@@ -29,7 +30,8 @@
     target : str
         Path and query, as the client sent them.
     headers : Headers
-        End-to-end headers to forward, ``Host`` included.
+        End-to-end headers to forward, ``Host`` included. The header of the credential
+        has an empty value here.
     body : bytes
         Whole request body.
     arrived_at : float
@@ -39,6 +41,11 @@
     on_client_left : Callable
         Subscribes a listener that is called when the client disconnects; returns a
         function that unsubscribes it. The listener must not block.
+    credential : str
+        Key of an account that the client sent, empty if it sent none.
+    account : Account or None
+        Its account, ``ANONYMOUS`` without a valid key. None if the configuration has no
+        accounts; its headers are then forwarded as they are.
     """
 
     id: str
@@ -52,6 +59,8 @@
     on_client_left: Callable[[Callable[[], None]], Unsubscribe] = field(
         default=_ignore_listener, repr=False, eq=False
     )
+    credential: str = field(default="", repr=False)
+    account: Account | None = None
 
     @property
     def path(self) -> str:
--- a/dotterelpier/model/route.py
+++ b/dotterelpier/model/route.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from dotterelpier.model.account import Account
+
 
 @frozen
 class Share:
@@ -49,6 +51,8 @@
         Largest number of attempts for one request, the first included.
     priority : int
         Priority; 0 is the highest.
+    public : bool
+        Whether its requests need no key.
     """
 
     name: str
@@ -61,6 +65,7 @@
     target_s: float = 1.0
     max_attempts: int = 1
     priority: int = 0
+    public: bool = False
 
 
 @frozen
@@ -127,6 +132,10 @@
     faults : tuple of str
         What could not be read and how it is handled, one line each with the path of
         the key.
+    needs_keys : bool
+        Whether requests need the key of an account, except on public routes.
+    account_by_key_digest : Mapping
+        Accounts by the digest of each of their keys.
     """
 
     version: int
@@ -134,6 +143,8 @@
     config_by_service: Mapping[str, ServiceConfig] = field(repr=False)
     limits: ClientLimits = ClientLimits()
     faults: tuple[str, ...] = ()
+    needs_keys: bool = False
+    account_by_key_digest: Mapping[bytes, Account] = field(factory=dict, repr=False)
 
     def route_names(self) -> frozenset[str]:
         """Return the names of all routes."""
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -21,11 +21,12 @@
     ServiceConfig,
     Share,
 )
+from dotterelpier.platform.accounts import ACCOUNTS_KEY, CONFIG_KEY, decode_accounts
 from dotterelpier.wire.manifest_toml import is_address
 
 STEP = "platform.codec"
-CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
+PUBLIC_KEY = "public"
 REGISTRATION_STATES = ("ready", "draining")
 # Kind of a route in the store -> whether it is idempotent, whether bodies are large.
 FLAGS_BY_ROUTE_KIND: Mapping[str, tuple[bool, bool]] = {
@@ -71,7 +72,8 @@
         """Return the configuration that a row holds.
 
         Services that cannot be read are left out, and routes that cannot be read have
-        no shares; ``faults`` of the table lists them.
+        no shares; accounts that cannot be read have no keys. ``faults`` of the table
+        lists them.
 
         Raises
         ------
@@ -92,7 +94,21 @@
         for route in _unserved_routes(table, table.keys - routes.keys()):
             routes[route.name] = route
         limits = _client_limits(fields.child("limits"))
-        return RouteTable(version, _group_by_host(routes), terms, limits, tuple(faults))
+        route_by_prefix_by_host = _group_by_host(routes)
+        accounts = fields.optional(ACCOUNTS_KEY, decode_accounts)
+        if accounts is None:
+            return RouteTable(
+                version, route_by_prefix_by_host, terms, limits, tuple(faults)
+            )
+        return RouteTable(
+            version,
+            route_by_prefix_by_host,
+            terms,
+            limits,
+            (*faults, *_odd_public(table, routes), *accounts.faults),
+            True,
+            accounts.account_by_key_digest,
+        )
 
     def instance(self, key: str, content: bytes) -> Instance:
         """Return the backend server that a registry row describes.
@@ -203,6 +219,13 @@
             yield f"{fields.key_path('kind')}: {kind!r} is unknown; never repeated"
 
 
+def _odd_public(table: _Fields, routes: Iterable[str]) -> Iterator[str]:
+    for name in routes:
+        fields = table.child(name)
+        if not isinstance(fields.get(PUBLIC_KEY, _any, False), bool):
+            yield f"{fields.key_path(PUBLIC_KEY)}: not understood; taken as false"
+
+
 def _route(terms: Mapping[str, ServiceConfig], name: str, fields: _Fields) -> Route:
     kind = fields.get("kind", _text)
     idempotent, large_bodies = FLAGS_BY_ROUTE_KIND.get(kind, UNKNOWN_KIND_FLAGS)
@@ -219,6 +242,7 @@
         fields.get("targetLatencyMs", _duration_ms, 1000.0) / 1000,
         fields.get("maxAttempts", _positive_integer, 1),
         fields.get("priority", _integer, 0),
+        fields.get(PUBLIC_KEY, _any, False) is True,
     )
 
 
@@ -271,9 +295,13 @@
 
 def _parse_object(content: bytes) -> dict[str, Any]:
     try:
-        return _mapping(json.loads(content))
+        value = json.loads(content)
     except (ValueError, RecursionError) as error:
         raise _config_error("(root)", str(error)) from None
+    if not isinstance(value, dict):
+        # The value may hold keys of accounts, so it is not quoted.
+        raise _config_error("(root)", f"expected a map, got {type(value).__name__}")
+    return value
 
 
 def _config_error(path: str, message: str) -> ConfigError:
@@ -286,6 +314,10 @@
     return value
 
 
+def _any(value: Any) -> Any:
+    return value
+
+
 def _list(value: Any) -> list[Any]:
     if not isinstance(value, list):
         raise ValueError(f"expected a list, got {value!r:.80}")
--- a/dotterelpier/platform/headers.py
+++ b/dotterelpier/platform/headers.py
@@ -9,6 +9,7 @@
     AnswerMismatchError,
     RefusedError,
 )
+from dotterelpier.model.account import ANONYMOUS
 from dotterelpier.model.call import Headers
 from dotterelpier.model.instance import (
     NO_NOTICE,
@@ -28,6 +29,10 @@
 INSTANCE_HEADER = "X-Dotterelpier-Instance-Id"
 SIGNATURE_HEADER = "X-Dotterelpier-Server-Signature"
 LOAD_HEADER = "X-Dotterelpier-Server-Load"
+# Key of an account, which a client sends.
+CREDENTIAL_HEADER = "X-Dotterelpier-Credential"
+# Name of the account, which a backend server is told.
+ACCOUNT_HEADER = "X-Dotterelpier-Tenant"
 COLD_HEADER = "X-Dotterelpier-Cold-Remaining-Ms"
 NOT_EXECUTED_HEADER = "X-Dotterelpier-Not-Executed"
 LEAVING_HEADER = "server-leaving"
@@ -51,6 +56,10 @@
 REPLACED_HEADERS = frozenset(
     name.lower() for name in (DEADLINE_HEADER, EXPECTED_INSTANCE_HEADER)
 )
+# Headers that no backend server gets from a client if the configuration has accounts.
+ACCOUNT_HEADERS = frozenset(
+    name.lower() for name in (CREDENTIAL_HEADER, ACCOUNT_HEADER)
+)
 
 
 class PlatformHeaders:
@@ -64,6 +73,8 @@
     ) -> dict[str, str]:
         """Return the client's headers with deadline and expected instance replaced.
 
+        If the configuration has accounts, the name of the account replaces the key.
+
         Parameters
         ----------
         request : Request
@@ -73,11 +84,16 @@
         remaining_s : float
             Time until the deadline of the request, in seconds.
         """
+        replaced = REPLACED_HEADERS
+        if request.account is not None:
+            replaced |= ACCOUNT_HEADERS
         headers = {
-            name: value
+            name: request.credential if _is_credential(name) else value
             for name, value in request.headers
-            if name.lower() not in REPLACED_HEADERS
+            if name.lower() not in replaced
         }
+        if request.account is not None and request.account is not ANONYMOUS:
+            headers[ACCOUNT_HEADER] = request.account.name
         headers[DEADLINE_HEADER] = str(max(1, math.floor(remaining_s * 1000)))
         headers[EXPECTED_INSTANCE_HEADER] = instance.id
         return headers
@@ -154,6 +170,16 @@
         """Return the attempt id that a client sent, empty if it sent none."""
         return value_by_variable.get(wsgi_variable_of(ATTEMPT_HEADER), "")
 
+    def credential(self, value_by_variable: Mapping[str, str]) -> str:
+        """Return the key that a client sent, empty if it sent none."""
+        return value_by_variable.get(wsgi_variable_of(CREDENTIAL_HEADER), "")
+
+    def without_credential(self, headers: Headers) -> Headers:
+        """Return headers with an empty value in place of the key."""
+        return tuple(
+            (name, "" if _is_credential(name) else value) for name, value in headers
+        )
+
     def client_timeout_s(self, value_by_variable: Mapping[str, str]) -> float | None:
         """Return a client's timeout in seconds, None if it is missing or not valid."""
         text = value_by_variable.get(wsgi_variable_of(DEADLINE_HEADER))
@@ -166,6 +192,10 @@
         return min(value, MAX_DURATION_MS) / 1000 if 0 < value < math.inf else None
 
 
+def _is_credential(name: str) -> bool:
+    return name.lower() == CREDENTIAL_HEADER.lower()
+
+
 def read_notice(status: int, headers: Headers) -> InstanceNotice:
     """Return what a backend server asks for in an answer.
 
--- a/dotterelpier/platform/store.py
+++ b/dotterelpier/platform/store.py
@@ -24,6 +24,7 @@
     PlatformUnavailableError,
 )
 from dotterelpier.model.fleet import StoreReply, StoreRow
+from dotterelpier.platform.accounts import CONFIG_KEY, CONFIG_TABLE, hide_keys
 from dotterelpier.protocols.fleet import RowStore
 
 # The sites' terms state 4 ms for a read; a slow store takes up to a hundred times as
@@ -51,7 +52,8 @@
 
     It connects on its first use and again after an error. All methods but ``abort``
     block, and raise ``PlatformUnavailableError`` if no valid answer comes in time; a
-    write may then have taken effect, now or later.
+    write may then have taken effect, now or later. The keys in the configuration are
+    replaced by digests, as rows are passed on to other entries.
     """
 
     _address: str
@@ -136,7 +138,7 @@
         if status != STATUS_OK:
             raise self._unavailable(f"unexpected status {status}", "store.read")
         try:
-            return _decode_page(reply)
+            return _decode_page(reply, str(query["table"]))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             message = f"malformed reply: {error!r}"
             raise self._unavailable(message, "store.read") from None
@@ -154,6 +156,10 @@
             if response.will_close:
                 self._close()
             return response.status, json.loads(content) if content else None
+        except UnicodeDecodeError as error:
+            self._close()
+            # Its repr would quote the whole reply, with the keys of accounts.
+            raise self._unavailable(str(error), "store.exchange") from None
         except (OSError, ValueError, http.client.HTTPException) as error:
             self._close()
             raise self._unavailable(repr(error), "store.exchange") from None
@@ -213,23 +219,24 @@
     more: bool
 
 
-def _decode_page(reply: dict[str, Any]) -> _Page:
-    rows = tuple(_decode_row(item) for item in reply.get("rows", ()))
+def _decode_page(reply: dict[str, Any], table: str) -> _Page:
+    rows = tuple(_decode_row(item, table) for item in reply.get("rows", ()))
     return _Page(rows, int(reply["ver"]), bool(reply.get("hasMore")) and len(rows) > 1)
 
 
-def _decode_row(item: dict[str, Any]) -> StoreRow:
+def _decode_row(item: dict[str, Any], table: str) -> StoreRow:
     key, version = str(item["key"]), int(item["ver"])
     if item.get("tombstone"):
         return StoreRow(key, None, version)
     try:
-        return StoreRow(
-            key, base64.b64decode(item.get("value") or "", validate=True), version
-        )
+        content = base64.b64decode(item.get("value") or "", validate=True)
     except (binascii.Error, TypeError):
         # A value that is not base64 must not read as a deleted row; with empty content,
         # the decoder of the row rejects it.
-        return StoreRow(key, b"", version)
+        content = b""
+    if table == CONFIG_TABLE and key == CONFIG_KEY:
+        content = hide_keys(content)
+    return StoreRow(key, content, version)
 
 
 def make_row_stores(address: str) -> RowStores:
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Protocols of the services of an entry in a fleet."""
 
 from dotterelpier.protocols.fleet.requests import (
+    Accounts,
     DrainWindow,
     EntryDirectory,
     Forwarding,
@@ -35,6 +36,7 @@
 )
 
 __all__ = [
+    "Accounts",
     "Choice",
     "Codec",
     "Conditions",
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -6,13 +6,14 @@
 
 from dotterelpier.errors import OverloadedError
 from dotterelpier.fleet_settings import BoundSettings
+from dotterelpier.model.account import Account
 from dotterelpier.model.call import Headers
 from dotterelpier.model.instance import (
     HealthReport,
     Instance,
 )
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
-from dotterelpier.model.route import Route
+from dotterelpier.model.route import Route, RouteTable
 from dotterelpier.model.ticket import Ticket
 
 
@@ -30,6 +31,14 @@
         """Return the timeout in seconds that a client sent, None if it is not valid."""
         ...
 
+    def credential(self, value_by_variable: Mapping[str, str]) -> str:
+        """Return the key of an account that a client sent, empty if it sent none."""
+        ...
+
+    def without_credential(self, headers: Headers) -> Headers:
+        """Return headers with an empty value in place of the key of an account."""
+        ...
+
     def request_headers(
         self, request: Request, instance: Instance, remaining_s: float
     ) -> dict[str, str]:
@@ -147,6 +156,41 @@
         ...
 
 
+class Accounts(Protocol):
+    """Identifies the accounts of clients by their keys."""
+
+    def table(self, until: float) -> RouteTable | None:
+        """Return the configuration in force, None before the first one was read.
+
+        A process that was frozen may have missed that keys were withdrawn. It blocks
+        for a moment, no longer than ``until`` on the monotonic clock, in seconds.
+        """
+        ...
+
+    def identify(
+        self, table: RouteTable, route: Route, credential: str
+    ) -> Account | None:
+        """Return the account of a request, None if the configuration has no accounts.
+
+        Parameters
+        ----------
+        table : RouteTable
+            The configuration in force.
+        route : Route
+            Route of the request.
+        credential : str
+            Key that the client sent, empty if it sent none.
+
+        Raises
+        ------
+        UnknownKeyError
+            If the request needs a key, and it is missing or belongs to no account.
+        ConfigurationStaleError
+            If the settings ask to refuse it, as the configuration may be outdated.
+        """
+        ...
+
+
 class LiveSettings(Protocol):
     """Settings in force, which follow their file without a restart."""
 
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -195,6 +195,25 @@
         """Announce a table no more until the store answers a call for it again."""
         ...
 
+    def note_applied(self, table: str, version: int) -> None:
+        """Record that the changes of a table up to a version are in force here."""
+        ...
+
+    def confirmed_at(self, table: str) -> float:
+        """Return the last time at which no change of a table was missing here.
+
+        It is on the monotonic clock, in seconds, and minus infinity before the table
+        was read.
+        """
+        ...
+
+    def wait_after_freeze(self, table: str, until: float) -> None:
+        """Block while a table may be outdated as this process was frozen.
+
+        It ends within a second, and at ``until``, on the monotonic clock in seconds.
+        """
+        ...
+
     def changes(self, table: str, after: int) -> StoreReply:
         """Return the changes of a table after a version from the copy held here."""
         ...
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -86,6 +86,9 @@
     "refusals": MetricDeclaration(
         Counter, "Requests refused as no backend server has room.", ("service",)
     ),
+    "unknown_keys": MetricDeclaration(
+        Counter, "Requests refused as their key is missing or unknown."
+    ),
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
@@ -99,7 +102,8 @@
     "audit_dropped": MetricDeclaration(Counter, "Audit entries dropped."),
     "revision": MetricDeclaration(Gauge, "Manifest revision in force, 0 if none."),
     "configuration_faults": MetricDeclaration(
-        Gauge, "Faults in the configuration in force; their routes are not served."
+        Gauge,
+        "Faults in the configuration; their routes and keys are not served.",
     ),
     "assignment": MetricDeclaration(Gauge, "Number of the assignment in force."),
     "lease_left_seconds": MetricDeclaration(
--- a/dotterelpier/wire/problem.py
+++ b/dotterelpier/wire/problem.py
@@ -10,6 +10,7 @@
     CallError,
     ClaimUnavailableError,
     ClientLeftError,
+    ConfigurationStaleError,
     ConnectFailedError,
     CutOffError,
     DotterelpierError,
@@ -22,6 +23,7 @@
     RefusedError,
     RouteFaultyError,
     StoppingError,
+    UnknownKeyError,
     UnknownServiceError,
 )
 from dotterelpier.model.call import Outcome
@@ -45,6 +47,8 @@
     ClaimUnavailableError: 503,
     AnswerTimeoutError: 504,
     NoRouteError: 404,
+    UnknownKeyError: 401,
+    ConfigurationStaleError: 503,
     RouteFaultyError: 503,
     ClientLeftError: 502,
 }
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -311,6 +311,9 @@
     def note_unwatched(self, table: str) -> None:
         """Do nothing: the only entry announces no table."""
 
+    def note_applied(self, table: str, version: int) -> None:
+        """Do nothing: nobody asks how fresh the tables are."""
+
 
 class FixedSettings:
     """Settings that do not change, with given limits."""
