Interfaces, messages and store transactions of roll-outs

Without an order, Rollouts.select returns None and each attempt is an UntrackedAttempt that counts nothing. The stand-in of the store applies a transaction as a whole, tells a steady clock, and can lose the responses of writes.

--- a/dotterelpier/clients/connections.py
+++ b/dotterelpier/clients/connections.py
@@ -1,6 +1,7 @@
 """Pools of HTTP connections, each of which has a task."""
 
 import threading
+from collections.abc import Set
 
 from attrs import define, field
 
@@ -92,6 +93,12 @@
         for connection in idle:
             connection.put(None)
 
+    def in_use(self, addresses: Set[str]) -> int:
+        """Return the connections to some addresses that are not idle."""
+        with self._lock:
+            idle = sum(len(self._idle_by_address.get(item, ())) for item in addresses)
+            return sum(item.address in addresses for item in self._connections) - idle
+
     def abort(self, exchange: PooledExchange) -> None:
         """Shut down the connection that performs an exchange, if one still does.
 
--- a/dotterelpier/clients/instances.py
+++ b/dotterelpier/clients/instances.py
@@ -3,6 +3,7 @@
 import http.client
 import threading
 import time
+from collections.abc import Set
 from concurrent.futures import Future
 from typing import Any
 
@@ -126,6 +127,10 @@
         )
         return evolve(answer, stream=received.stream, length=received.length)
 
+    def in_use(self, addresses: Set[str]) -> int:
+        """Return the connections to some addresses that are not idle."""
+        return self._pool.in_use(addresses)
+
     def health_connection(self, instance: Instance) -> HealthConnection:
         """Return a connection for health checks, opened on its first use."""
         return HttpHealthConnection(instance, self._codec)
--- a/dotterelpier/fleet/choosing.py
+++ b/dotterelpier/fleet/choosing.py
@@ -5,8 +5,10 @@
 from attrs import define, field, frozen
 
 from dotterelpier.fleet.condition import LAST_SLOT_PENALTY, Condition
+from dotterelpier.fleet.rollouts.disabled import UNTRACKED
 from dotterelpier.model.instance import Instance
 from dotterelpier.model.route import Route
+from dotterelpier.protocols.fleet import TrackedAttempt
 
 # Added to the expected time of a backend server in another zone, in multiples of the
 # usual work time. Traffic between zones is billed, so large bodies cost much more.
@@ -36,6 +38,10 @@
         Age of its last load report in seconds, infinite if there is none.
     estimated_in_flight : int
         Requests estimated to be at it before this one, from all entries.
+    cold : bool
+        Whether it was in its cold start.
+    tracked : TrackedAttempt
+        How the roll-out of its service counts the attempt.
     """
 
     instance: Instance
@@ -43,6 +49,8 @@
     expected_time: float
     load_age_s: float
     estimated_in_flight: int
+    cold: bool = False
+    tracked: TrackedAttempt = UNTRACKED
 
 
 @define
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 
-from attrs import define, field
+from attrs import define, evolve, field
 from loguru import logger
 
 from dotterelpier.fleet.capacity import capacity_by_zone
@@ -12,6 +12,7 @@
 from dotterelpier.fleet.condition import SLOW_RATIO, Condition
 from dotterelpier.fleet.full_load import FullLoadEstimate
 from dotterelpier.fleet.notices import InstanceNotices, is_same_incarnation
+from dotterelpier.fleet.rollouts.disabled import NoRollouts
 from dotterelpier.fleet.work_time_estimates import WorkTimeEstimates
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.instance import (
@@ -27,7 +28,9 @@
     Choice,
     Conditions,
     Fleet,
+    InstanceFilter,
     Registry,
+    Rollouts,
     Routes,
     Subsets,
 )
@@ -45,6 +48,7 @@
     _registry: Registry
     _fleet: Fleet
     _subsets: Subsets
+    _rollouts: Rollouts = field(factory=NoRollouts)
     _chooser: ConditionChooser = field(factory=ConditionChooser)
     _work_time_by_route: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _work_time_by_service: WorkTimeEstimates = field(factory=WorkTimeEstimates)
@@ -120,6 +124,22 @@
         within ``remaining_s`` seconds. Quarantined ones are chosen only if there is
         no other.
         """
+        selection = self._rollouts.select(service, is_first=not excluded)
+        if selection is None:
+            return self._pick(service, route, excluded, remaining_s)
+        return selection.choose(
+            lambda permits: self._pick(service, route, excluded, remaining_s, permits),
+            lambda chosen, tracked: evolve(chosen, tracked=tracked),
+        )
+
+    def _pick(
+        self,
+        service: str,
+        route: Route,
+        excluded: frozenset[str],
+        remaining_s: float,
+        permits: InstanceFilter | None = None,
+    ) -> ChosenInstance | None:
         table = self._routes.table()
         terms = table.config_by_service.get(service) if table else None
         if terms is None:
@@ -136,6 +156,8 @@
                 and item not in self._evacuated_ids
                 and item in self._condition_by_id
             ]
+            if permits is not None:
+                candidates = [item for item in candidates if permits(item.instance)]
             eligible = [
                 item
                 for item in candidates
@@ -179,6 +201,7 @@
             condition.expected_time(now),
             now - condition.load_at if condition.load else math.inf,
             condition.estimated_in_flight(),
+            condition.is_cold(now),
         )
         condition.in_flight += 1
         condition.sent_since += 1
@@ -466,4 +489,5 @@
         kernel.find(ServiceName.REGISTRY, Registry),
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.SUBSETS, Subsets),
+        kernel.find(ServiceName.ROLLOUTS, Rollouts),
     )
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -41,6 +41,7 @@
     Forwarding,
     Instances,
     RetryBudget,
+    Rollouts,
     Routes,
     WaitingRoom,
 )
@@ -74,6 +75,7 @@
     _budget: RetryBudget
     _waiting_room: WaitingRoom
     _drain_window: DrainWindow
+    _rollouts: Rollouts
     _split: WeightedSplit = field(factory=WeightedSplit)
 
     def serve(self, request: Request) -> Reply:
@@ -120,6 +122,7 @@
         self._drain_window.check(request.arrived_at, deadline_at)
         service = self._split.choose(route)
         self._budget.note_request(service)
+        self._rollouts.note_request(service)
         return RequestState(request, route, table.version, service, deadline_at)
 
     def _run_attempts(self, state: RequestState) -> Reply:
@@ -224,7 +227,9 @@
             )
         except TaskPoolFullError as error:
             self._conditions.note_ended(instance.id, None)
+            choice.tracked.note_not_sent()
             raise OverloadedError(error.message, step=STEP, peer=instance.id) from None
+        choice.tracked.note_sent(state.route)
         attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op)
         if state.route.idempotent:
             attempt.unwatch = self._conditions.watch_slowdown(
@@ -256,8 +261,9 @@
         failed = answer.status >= FIRST_SERVER_ERROR_STATUS
         self._conditions.note_ended(attempt.peer, not failed)
         state.possibly_run_count += 1
+        duration_s = self._clock.monotonic() - attempt.sent_at
+        attempt.choice.tracked.note_answer(state.route, answer, duration_s)
         if not failed:
-            duration_s = self._clock.monotonic() - attempt.sent_at
             self._conditions.note_answer(state.route, attempt.choice, duration_s)
             return _reply(answer)
         state.failure = answer
@@ -293,6 +299,8 @@
         elif error.ran:
             state.possibly_run_count += 1
         self._conditions.note_ended(attempt.peer, success)
+        duration_s = self._clock.monotonic() - attempt.sent_at
+        attempt.choice.tracked.note_error(state.route, error, duration_s)
         logger.info(
             "attempt failed",
             request=state.request.id,
@@ -371,7 +379,8 @@
             attempt.unwatch()
             attempt.exchange.abort()
             overdue_at = attempt.sent_at + state.route.target_s
-            overdue = self._clock.monotonic() > overdue_at
+            overdue = (now := self._clock.monotonic()) > overdue_at
+            attempt.choice.tracked.note_aborted(state.route, now - attempt.sent_at)
             self._conditions.note_ended(attempt.peer, False if overdue else None)
         state.pending.clear()
 
@@ -390,6 +399,7 @@
             busy=choice.estimated_in_flight,
             slots=choice.instance.slots,
             left_ms=round((state.deadline_at - attempt.sent_at) * 1000),
+            **choice.tracked.log_fields(),
         )
 
     def _log_end(
@@ -445,4 +455,5 @@
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
         kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
         kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
+        kernel.find(ServiceName.ROLLOUTS, Rollouts),
     )
--- a/dotterelpier/fleet/routes.py
+++ b/dotterelpier/fleet/routes.py
@@ -1,6 +1,6 @@
 """The configuration in force and the evacuated zones, read from the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from attrs import define, field
@@ -10,6 +10,7 @@
 from dotterelpier.fleet.follower import TableFollower, apply_each, make_follower
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import StoreRow
+from dotterelpier.model.rollout import RolloutOrder
 from dotterelpier.model.route import RouteTable
 from dotterelpier.protocols import Metrics, ServiceName
 from dotterelpier.protocols.fleet import Codec, Routes
@@ -34,6 +35,8 @@
     _follower: TableFollower | None = None
     _table: RouteTable | None = None
     _evacuated: frozenset[str] = frozenset()
+    _order_by_service: Mapping[str, RolloutOrder] = field(factory=dict)
+    _is_snapshot: bool = False
     _listeners: list[Callable[[], None]] = field(factory=list)
 
     def start(self) -> None:
@@ -54,6 +57,14 @@
         """Return whether a zone is evacuated and gets no requests."""
         return zone in self._evacuated
 
+    def rollout_orders(self) -> Mapping[str, RolloutOrder]:
+        """Return the orders of roll-outs by service."""
+        return self._order_by_service
+
+    def is_snapshot(self) -> bool:
+        """Return whether the last rows applied were a snapshot of the table."""
+        return self._is_snapshot
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change; it must not block.
 
@@ -64,23 +75,55 @@
     def apply_snapshot(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply all rows; a zone without an evacuation row is no longer evacuated."""
         self._set_evacuated(frozenset(filter(None, map(self._zone, rows))))
-        self.apply_changes(rows)
+        ordered = {self._codec.rollout_service(row.key) for row in rows}
+        for service in self._order_by_service.keys() - ordered:
+            self._set_order(service, None)
+        self._apply(rows, is_snapshot=True)
 
     def apply_changes(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply changed rows, then call the listeners."""
+        self._apply(rows, is_snapshot=False)
+
+    def _apply(self, rows: tuple[StoreRow, ...], *, is_snapshot: bool) -> None:
+        self._is_snapshot = is_snapshot
         apply_each(rows, self._apply_row)
         for listener in self._listeners:
             listener()
 
     def _apply_row(self, row: StoreRow) -> None:
         zone = self._zone(row)
-        if zone and row.value is None:
+        service = self._codec.rollout_service(row.key)
+        if service:
+            self._set_order(service, self._decode_order(row))
+        elif zone and row.value is None:
             self._set_evacuated(self._evacuated - {zone})
         elif zone:
             self._set_evacuated(self._evacuated | {zone})
         elif self._codec.is_configuration(row.key) and row.value is not None:
             self._apply_table(row.value)
 
+    def _decode_order(self, row: StoreRow) -> RolloutOrder | None:
+        if row.value is None:
+            return None
+        try:
+            return self._codec.rollout_order(row.key, row.value, row.version)
+        except ConfigError as error:
+            logger.error(
+                "order of a roll-out not understood; ignoring it",
+                key=row.key,
+                version=row.version,
+                error=str(error),
+            )
+            return None
+
+    def _set_order(self, service: str, order: RolloutOrder | None) -> None:
+        orders = dict(self._order_by_service)
+        orders.pop(service, None)
+        if order is not None:
+            orders[service] = order
+        # Replaced as a whole, as other threads read it.
+        self._order_by_service = orders
+
     def _zone(self, row: StoreRow) -> str | None:
         return self._codec.evacuated_zone(row.key)
 
--- a/dotterelpier/model/fleet.py
+++ b/dotterelpier/model/fleet.py
@@ -34,11 +34,52 @@
         Version of the store up to which the reply is complete.
     whole : bool
         Whether the rows are a snapshot of the table rather than changes.
+    store_ms : int
+        Steady clock of the store when it replied, in milliseconds; 0 if unknown.
     """
 
     rows: tuple[StoreRow, ...]
     version: int
     whole: bool = False
+    store_ms: int = 0
+
+
+@frozen
+class RowWrite:
+    """A row to be written in a transaction.
+
+    Attributes
+    ----------
+    table : str
+        Name of the table.
+    key : str
+        Key of the row.
+    value : bytes
+        New content.
+    """
+
+    table: str
+    key: str
+    value: bytes = field(repr=False)
+
+
+@frozen
+class ExpectedRow:
+    """A row that must have a version for a transaction to be applied.
+
+    Attributes
+    ----------
+    table : str
+        Name of the table.
+    key : str
+        Key of the row.
+    version : int
+        Version that it must have, 0 if it must not exist.
+    """
+
+    table: str
+    key: str
+    version: int
 
 
 @frozen
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -21,6 +21,7 @@
     ServiceConfig,
     Share,
 )
+from dotterelpier.platform.rollout_rows import RolloutRows
 from dotterelpier.wire.manifest_toml import is_address
 
 STEP = "platform.codec"
@@ -51,7 +52,7 @@
 T = TypeVar("T")
 
 
-class StoreCodec:
+class StoreCodec(RolloutRows):
     """Decodes rows that operators and backend servers write to the store.
 
     Holds no state, so that any thread may use it.
--- a/dotterelpier/platform/store.py
+++ b/dotterelpier/platform/store.py
@@ -23,7 +23,7 @@
     HistoryLostError,
     PlatformUnavailableError,
 )
-from dotterelpier.model.fleet import StoreReply, StoreRow
+from dotterelpier.model.fleet import ExpectedRow, RowWrite, StoreReply, StoreRow
 from dotterelpier.protocols.fleet import RowStore
 
 # The sites' terms state 4 ms for a read; a slow store takes up to a hundred times as
@@ -71,7 +71,7 @@
             page = self._get(PATH_GET, query, CALL_TIMEOUT_S)
             row_by_key.update((row.key, row) for row in page.rows)
         rows = tuple(row_by_key.values())
-        return StoreReply(rows, first.version, whole=True)
+        return StoreReply(rows, first.version, whole=True, store_ms=first.store_ms)
 
     def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
         """Return the changes of a table after a version.
@@ -85,13 +85,38 @@
         """
         query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
         page = self._get(PATH_FEED, query, wait_s + WATCH_MARGIN_S)
-        return StoreReply(page.rows, page.version)
+        return StoreReply(page.rows, page.version, store_ms=page.store_ms)
 
     def put(self, table: str, key: str, value: bytes) -> int:
         """Write a row, whatever its present version; return its new version."""
-        row = {"table": table, "part": "", "key": key}
-        write = {**row, "value": base64.b64encode(value).decode()}
-        return self._commit({"expect": [], "writes": [write], "deletes": []}, key)
+        return self.put_all((RowWrite(table, key, value),), ())
+
+    def put_all(
+        self, writes: tuple[RowWrite, ...], expected: tuple[ExpectedRow, ...]
+    ) -> int:
+        """Write rows in one transaction if others have the expected versions.
+
+        Returns the version of the rows that were written.
+
+        Raises
+        ------
+        ConflictError
+            If a row has another version than expected; nothing was written.
+        """
+        transaction = {
+            "expect": [
+                {**_row(item.table, item.key), "ver": item.version} for item in expected
+            ],
+            "writes": [
+                {
+                    **_row(item.table, item.key),
+                    "value": base64.b64encode(item.value).decode(),
+                }
+                for item in writes
+            ],
+            "deletes": [],
+        }
+        return self._commit(transaction, writes[0].key)
 
     def delete(self, table: str, key: str, version: int) -> None:
         """Delete a row if it has this version.
@@ -101,7 +126,7 @@
         ConflictError
             If it has another version or does not exist.
         """
-        row = {"table": table, "part": "", "key": key}
+        row = _row(table, key)
         expected = {**row, "ver": version}
         self._commit({"expect": [expected], "writes": [], "deletes": [row]}, key)
 
@@ -211,11 +236,17 @@
     rows: tuple[StoreRow, ...]
     version: int
     more: bool
+    store_ms: int
+
+
+def _row(table: str, key: str) -> dict[str, Any]:
+    return {"table": table, "part": "", "key": key}
 
 
 def _decode_page(reply: dict[str, Any]) -> _Page:
     rows = tuple(_decode_row(item) for item in reply.get("rows", ()))
-    return _Page(rows, int(reply["ver"]), bool(reply.get("hasMore")) and len(rows) > 1)
+    more = bool(reply.get("hasMore")) and len(rows) > 1
+    return _Page(rows, int(reply["ver"]), more, int(reply.get("nowMs") or 0))
 
 
 def _decode_row(item: dict[str, Any]) -> StoreRow:
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -14,6 +14,13 @@
     RetryBudget,
     WaitingRoom,
 )
+from dotterelpier.protocols.fleet.rollouts import (
+    ChosenServer,
+    InstanceFilter,
+    ReleaseSelection,
+    Rollouts,
+    TrackedAttempt,
+)
 from dotterelpier.protocols.fleet.state import (
     Choice,
     Conditions,
@@ -36,6 +43,7 @@
 
 __all__ = [
     "Choice",
+    "ChosenServer",
     "Codec",
     "Conditions",
     "DatagramKind",
@@ -48,6 +56,7 @@
     "HeaderCodec",
     "HealthConnection",
     "InstanceExchange",
+    "InstanceFilter",
     "Instances",
     "LiveSettings",
     "Measurements",
@@ -55,11 +64,14 @@
     "Pages",
     "PlannedStop",
     "Registry",
+    "ReleaseSelection",
     "RetryBudget",
+    "Rollouts",
     "Routes",
     "RowStore",
     "StoreLink",
     "Stores",
     "Subsets",
+    "TrackedAttempt",
     "WaitingRoom",
 ]
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -1,6 +1,6 @@
 """Protocols of the request path through an entry in a fleet."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from concurrent.futures import Future
 from typing import Protocol
 
@@ -138,6 +138,13 @@
         """
         ...
 
+    def in_use(self, addresses: Set[str]) -> int:
+        """Return the connections to some addresses that are not idle.
+
+        Each has a request that is queued, in flight, or whose answer is streamed.
+        """
+        ...
+
     def health_connection(self, instance: Instance) -> "HealthConnection":
         """Return a connection for health checks, opened on its first use."""
         ...
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -15,7 +15,9 @@
     LoadFigures,
     Measurement,
 )
+from dotterelpier.model.rollout import RolloutOrder
 from dotterelpier.model.route import Route, RouteTable
+from dotterelpier.protocols.fleet.rollouts import TrackedAttempt
 
 
 class Routes(Protocol):
@@ -29,6 +31,17 @@
         """Return whether a zone is evacuated and gets no requests."""
         ...
 
+    def rollout_orders(self) -> Mapping[str, RolloutOrder]:
+        """Return the orders of roll-outs by service."""
+        ...
+
+    def is_snapshot(self) -> bool:
+        """Return whether the last rows applied were a snapshot of the table.
+
+        The age of an order that appears in a snapshot is not known.
+        """
+        ...
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change; it must not block.
 
@@ -317,6 +330,16 @@
         """Return the requests estimated to be at it before this one."""
         ...
 
+    @property
+    def cold(self) -> bool:
+        """Return whether it was in its cold start."""
+        ...
+
+    @property
+    def tracked(self) -> TrackedAttempt:
+        """Return how the roll-out of its service counts the attempt."""
+        ...
+
 
 class Measurements(Protocol):
     """Sharing of health check results with the other entries of the zone."""
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -3,10 +3,16 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from dotterelpier.model.fleet import Announcement, StoreReply
+from dotterelpier.model.fleet import (
+    Announcement,
+    ExpectedRow,
+    RowWrite,
+    StoreReply,
+)
 from dotterelpier.model.instance import (
     Instance,
 )
+from dotterelpier.model.rollout import RolloutOrder, RolloutState
 from dotterelpier.model.route import RouteTable
 
 
@@ -38,6 +44,20 @@
         """Write a row, whether or not it exists, and return its new version."""
         ...
 
+    def put_all(
+        self, writes: tuple[RowWrite, ...], expected: tuple[ExpectedRow, ...]
+    ) -> int:
+        """Write rows in one transaction if others have the expected versions.
+
+        Return the version of the rows that were written.
+
+        Raises
+        ------
+        ConflictError
+            If a row has another version than expected; nothing was written.
+        """
+        ...
+
     def delete(self, table: str, key: str, version: int) -> None:
         """Delete a row if its version is still the given one.
 
@@ -86,6 +106,28 @@
         """Return whether the row with this key holds the configuration."""
         ...
 
+    def rollout_service(self, key: str) -> str | None:
+        """Return the service whose roll-out a row orders, None for other rows."""
+        ...
+
+    def rollout_order(self, key: str, content: bytes, version: int) -> RolloutOrder:
+        """Return the order that a row with a version holds.
+
+        Raises
+        ------
+        ConfigError
+            If the row is malformed; ``faults`` names the keys.
+        """
+        ...
+
+    def rollout_order_row(self, order: RolloutOrder) -> ExpectedRow:
+        """Return the row that holds an order, with its version."""
+        ...
+
+    def rollout_status_row(self, order: RolloutOrder, state: RolloutState) -> RowWrite:
+        """Return the row that tells operators the state of an order."""
+        ...
+
     def instance(self, key: str, content: bytes) -> Instance:
         """Return the backend server that a registration describes.
 
--- a/tests/standins/row_store.py
+++ b/tests/standins/row_store.py
@@ -2,7 +2,8 @@
 
 Tests inject faults through its state: while ``outage`` is set, every request gets 503;
 after ``forget_history``, a watch from an older version gets 410. Responses to calls for
-``silent_tables`` are lost, and their connections deliver nothing further.
+``silent_tables`` are lost, and their connections deliver nothing further. The next
+``lost_writes`` transactions take effect, but their connections are closed unanswered.
 """
 
 import base64
@@ -44,6 +45,7 @@
     outage: bool = False
     silent_tables: set[str] = field(factory=set)
     lost_responses: int = 0
+    lost_writes: int = 0
     calls: list[str] = field(factory=list)
     changed: threading.Condition = field(factory=threading.Condition)
 
@@ -74,6 +76,11 @@
         return {key for name, key in self.rows if name == table}
 
 
+def now_ms() -> int:
+    """Return the steady clock of the store in milliseconds."""
+    return int(time.monotonic() * 1000)
+
+
 def _encode_row(
     table: str, key: str, value: bytes | None, version: int
 ) -> dict[str, Any]:
@@ -119,16 +126,26 @@
             if state.outage:
                 self.answer_json(503, {"error": "outage"})
                 return
-            for row in body["expect"]:
-                current = state.rows.get((row["table"], row["key"]), (b"", 0))
-                if current[1] != row["ver"]:
-                    self.answer_json(412, {"rows": []})
-                    return
+            with state.changed:
+                conflict = any(
+                    state.rows.get((row["table"], row["key"]), (b"", 0))[1]
+                    != row["ver"]
+                    for row in body["expect"]
+                )
+                if not conflict:
+                    self._write(body)
+                reply = {"ver": state.version, "nowMs": now_ms()}
+            if state.lost_writes and not conflict:
+                state.lost_writes -= 1
+                self.close_connection = True
+            else:
+                self.answer_json(412 if conflict else 200, {"rows": [], **reply})
+
+        def _write(self, body: dict[str, Any]) -> None:
             for row in body["writes"]:
                 state.put(row["table"], row["key"], base64.b64decode(row["value"]))
             for row in body["deletes"]:
                 state.put(row["table"], row["key"], None)
-            self.answer_json(200, {"ver": state.version, "nowMs": 0})
 
         def _read(self, query: dict[str, str]) -> None:
             with state.changed:
@@ -141,7 +158,7 @@
                     "rows": rows[:PAGE_ROWS],
                     "hasMore": len(rows) > PAGE_ROWS,
                     "ver": state.version,
-                    "nowMs": 0,
+                    "nowMs": now_ms(),
                 }
             self.answer_json(200, reply)
 
@@ -165,7 +182,8 @@
             if history_lost:
                 self.answer_json(410, {"error": "history"})
             else:
-                self.answer_json(200, {"rows": rows, "ver": version, "nowMs": 0})
+                reply = {"rows": rows, "ver": version, "nowMs": now_ms()}
+                self.answer_json(200, reply)
 
     return Handler
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -13,8 +13,10 @@
     ConfigError,
     RefusedError,
 )
+from dotterelpier.model.fleet import ExpectedRow
 from dotterelpier.model.instance import NO_NOTICE, Instance, LoadFigures
 from dotterelpier.model.request import Request
+from dotterelpier.model.rollout import RolloutOrder, RolloutState
 from dotterelpier.platform.codec import MAX_SLOTS, make_store_codec
 from dotterelpier.platform.headers import (
     make_platform_headers,
@@ -191,6 +193,43 @@
     assert ":" in instance.address
 
 
+ORDER = {"service": "svc", "target": "v2", "durationS": 12}
+
+
+def test_order_of_a_rollout_is_decoded_and_its_state_encoded() -> None:
+    order = CODEC.rollout_order("rollout/svc", encoded(ORDER), 7)
+    assert order == RolloutOrder("svc", "v2", 12.0, 7)
+    assert CODEC.rollout_order_row(order) == ExpectedRow("op", "rollout/svc", 7)
+    for state in RolloutState:
+        row = CODEC.rollout_status_row(order, state)
+        shown = "running" if state is RolloutState.COMPLETING else state.value
+        assert (row.table, row.key) == ("status", "rollout/svc")
+        assert json.loads(row.value) == {"state": shown, "target": "v2"}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": "other"},
+        {"target": ""},
+        {"target": 2},
+        {"durationS": 0},
+        {"durationS": True},
+        {"durationS": 1e300},
+        {"durationS": None},
+    ],
+)
+def test_odd_order_of_a_rollout_is_rejected(change) -> None:
+    with pytest.raises(ConfigError):
+        CODEC.rollout_order("rollout/svc", encoded({**ORDER, **change}), 1)
+
+
+@given(st.binary() | JSON.map(encoded))
+def test_arbitrary_order_of_a_rollout_raises_only_config_error(content) -> None:
+    with pytest.raises(ConfigError):
+        CODEC.rollout_order("rollout/svc", content, 1)
+
+
 def test_registration_is_decoded() -> None:
     registration = {
         "address": "10.0.0.1:80",
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -14,7 +14,7 @@
 from dotterelpier.fleet.follower import make_follower
 from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.kernel import make_kernel
-from dotterelpier.model.fleet import StoreReply, StoreRow
+from dotterelpier.model.fleet import ExpectedRow, RowWrite, StoreReply, StoreRow
 from dotterelpier.platform import store as platform_store
 from dotterelpier.platform.store import make_row_stores
 from dotterelpier.protocols import ServiceName
@@ -44,6 +44,34 @@
     assert connection.read("t").rows == ()
 
 
+def test_transaction_needs_the_expected_version_and_writes_all_rows_or_none(
+    store,
+) -> None:
+    """Two coordinators that read the same row must not both decide."""
+    connection, state = store[0].connect(), store[1]
+    rows = (RowWrite("s", "k", b"1"), RowWrite("t", "k", b"1"))
+    version = connection.put_all(rows, (ExpectedRow("t", "k", 0),))
+    assert connection.read("t").rows == (StoreRow("k", b"1", version),)
+    with pytest.raises(ConflictError):
+        connection.put_all(rows, (ExpectedRow("t", "k", version - 1),))
+    assert state.version == version
+
+
+def test_reply_tells_the_clock_of_the_store(store) -> None:
+    connection = store[0].connect()
+    before = connection.read("t").store_ms
+    time.sleep(0.01)
+    assert connection.read("t").store_ms > before > 0
+
+
+def test_transaction_whose_response_was_lost_took_effect(store) -> None:
+    connection, state = store[0].connect(), store[1]
+    state.lost_writes = 1
+    with pytest.raises(PlatformUnavailableError):
+        connection.put_all((RowWrite("t", "k", b"1"),), (ExpectedRow("t", "k", 0),))
+    assert connection.read("t").rows[0].value == b"1"
+
+
 def test_all_pages_of_a_table_are_read(store) -> None:
     stores, state = store
     keys = [f"k{number}" for number in range(10)]
