Roll-outs: orders, records, messages and store calls of an entry

Change: a service that follows the orders and the records, the task that reports and leads, and the task that calls the store. The subset of an entry holds servers of both releases of an ordered service. Metrics rollout_state and rollout_share. Result: test_rollouts.py, two entries, stand-in store, servers of two releases: a good release is completed without a lost request and with none running at an old server, a failing one is rolled back within its exposure.

--- a/dotterelpier/fleet/subsets.py
+++ b/dotterelpier/fleet/subsets.py
@@ -13,11 +13,12 @@
 from loguru import logger
 
 from dotterelpier.fleet.ranking import first, weight
+from dotterelpier.fleet.rollouts.disabled import NoRollouts
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.model.instance import Instance
 from dotterelpier.protocols import Metrics, ServiceName
-from dotterelpier.protocols.fleet import Fleet, Registry, Subsets
+from dotterelpier.protocols.fleet import Fleet, Registry, Rollouts, Subsets
 
 # Backend servers of one service in the zone of the entry. With 4 slots each, a pool of
 # this size loses little to queueing against one of all servers.
@@ -85,6 +86,7 @@
     _registry: Registry
     _fleet: Fleet
     _metrics: Metrics
+    _rollouts: Rollouts = field(factory=NoRollouts)
     _subset: Subset = Subset()
     _homes: HomeTable = field(factory=HomeTable)
     _lock: threading.Lock = field(factory=threading.Lock)
@@ -94,6 +96,7 @@
         """Compute the subset now, and after each change."""
         self._registry.subscribe(self.refresh)
         self._fleet.subscribe(self.refresh)
+        self._rollouts.subscribe(self.refresh)
         self.refresh()
 
     def stop(self) -> None:
@@ -108,6 +111,7 @@
                 self._fleet.members(),
                 self._registry.instances(),
                 self._homes,
+                self._rollouts.target,
             )
         self._metrics.set_gauge("homes", len(self._subset.home_ids))
         if before.home_ids != self._subset.home_ids:
@@ -137,15 +141,22 @@
         return self._subset.listeners_by_id.get(instance_id, ())
 
 
+def _no_target(service: str) -> str | None:
+    return None
+
+
 def compute_subset(
     me: FleetMember,
     members: tuple[FleetMember, ...],
     instances: Iterable[Instance],
     homes: HomeTable | None = None,
+    target: Callable[[str], str | None] = _no_target,
 ) -> Subset:
     """Return the subset of an entry.
 
-    Entries with the same lists compute the same subsets.
+    Entries with the same lists compute the same subsets. The servers of a release that
+    is rolled out are divided apart from the others of the service, so that each entry
+    has some of both.
 
     Parameters
     ----------
@@ -157,14 +168,17 @@
         All backend servers.
     homes : HomeTable, optional
         What is known of the homes in the zone from an earlier call.
+    target : Callable, optional
+        Returns the release that is rolled out for a service.
     """
     homes = homes or HomeTable()
-    own_zone: dict[str, list[Instance]] = {}
-    other_zones: dict[str, list[Instance]] = {}
+    own_zone: dict[tuple[str, bool], list[Instance]] = {}
+    other_zones: dict[tuple[str, bool], list[Instance]] = {}
     member_zones = {member.zone for member in members}
     for item in instances:
-        by_service = own_zone if item.zone == me.zone else other_zones
-        by_service.setdefault(item.service, []).append(item)
+        by_group = own_zone if item.zone == me.zone else other_zones
+        group = (item.service, item.release == target(item.service))
+        by_group.setdefault(group, []).append(item)
     zone_members = sorted(
         (item for item in members if item.zone == me.zone),
         key=lambda item: weight("subset", item.name),
@@ -174,7 +188,7 @@
     ids_by_service: dict[str, set[str]] = {}
     home_ids: set[str] = set()
     listeners_by_id: dict[str, tuple[FleetMember, ...]] = {}
-    for service, items in own_zone.items():
+    for (service, _), items in own_zone.items():
         items.sort(key=lambda item: weight("subset", item.id))
         ids = ids_by_service.setdefault(service, set())
         ids.update(_slice(items, zone_members, me))
@@ -183,7 +197,7 @@
         ids.update(own_ids)
         if own_ids:
             listeners_by_id.update(_listeners(own_ids, items, zone_members, me))
-    for service, items in other_zones.items():
+    for (service, _), items in other_zones.items():
         ids = ids_by_service.setdefault(service, set())
         items.sort(key=lambda item: weight(me.name, item.id))
         ids.update(item.id for item in items[:OTHER_ZONES_SIZE])
@@ -239,4 +253,5 @@
         kernel.find(ServiceName.REGISTRY, Registry),
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.METRICS, Metrics),
+        kernel.find(ServiceName.ROLLOUTS, Rollouts),
     )
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -25,7 +25,7 @@
 from dotterelpier.fleet.prober import make_prober
 from dotterelpier.fleet.registry import make_registry
 from dotterelpier.fleet.retry_budget import make_retry_budget
-from dotterelpier.fleet.rollouts.disabled import NoRollouts
+from dotterelpier.fleet.rollouts.service import make_rollouts
 from dotterelpier.fleet.routes import make_routes
 from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.fleet.subsets import make_subsets
@@ -154,7 +154,9 @@
     fleet = make_fleet(kernel, _make_member(settings.entry))
     kernel.register(ServiceName.FLEET, fleet, dependencies)
     dependencies = (ServiceName.REGISTRY, ServiceName.FLEET)
-    kernel.register(ServiceName.ROLLOUTS, NoRollouts())
+    rollouts = make_rollouts(kernel)
+    kernel.register(ServiceName.ROLLOUTS, rollouts, (*dependencies, ServiceName.ROUTES))
+    dependencies = (*dependencies, ServiceName.ROLLOUTS)
     kernel.register(ServiceName.SUBSETS, make_subsets(kernel), dependencies)
     dependencies = (ServiceName.ROUTES, ServiceName.SUBSETS)
     kernel.register(ServiceName.CONDITIONS, make_conditions(kernel), dependencies)
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -86,6 +86,14 @@
     "refusals": MetricDeclaration(
         Counter, "Requests refused as no backend server has room.", ("service",)
     ),
+    "rollout_state": MetricDeclaration(
+        Gauge,
+        "Roll-out: 1 running, 2 completed, 3 rolled back, 0 without an order.",
+        ("service",),
+    ),
+    "rollout_share": MetricDeclaration(
+        Gauge, "Share of the requests sent to the target of a roll-out.", ("service",)
+    ),
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -90,6 +90,7 @@
     zone: str = ZONE
     load: str = "0,0,4,100"
     cold_ms: int = 0
+    release: str = "v1"
     runs: list[ReceivedRequest] = field(factory=list)
     server: ScriptedServer = field(init=False)
 
@@ -119,7 +120,7 @@
             "address": self.server.address,
             "serverInfo": {
                 "service": self.service,
-                "version": "v1",
+                "version": self.release,
                 "zone": self.zone,
                 "slots": 4,
             },
