--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -22,6 +22,7 @@
     Share,
 )
 from dotterelpier.platform.accounts import ACCOUNTS_KEY, CONFIG_KEY, decode_accounts
+from dotterelpier.platform.rollout_rows import RolloutRows
 from dotterelpier.wire.manifest_toml import is_address
 
 STEP = "platform.codec"
@@ -52,7 +53,7 @@
 T = TypeVar("T")
 
 
-class StoreCodec:
+class StoreCodec(RolloutRows):
     """Decodes rows that operators and backend servers write to the store.
 
     Holds no state, so that any thread may use it.
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -15,6 +15,13 @@
     RetryBudget,
     WaitingRoom,
 )
+from dotterelpier.protocols.fleet.rollouts import (
+    ChosenServer,
+    InstanceFilter,
+    ReleaseSelection,
+    Rollouts,
+    TrackedAttempt,
+)
 from dotterelpier.protocols.fleet.state import (
     Choice,
     Conditions,
@@ -38,6 +45,7 @@
 __all__ = [
     "Accounts",
     "Choice",
+    "ChosenServer",
     "Codec",
     "Conditions",
     "DatagramKind",
@@ -50,6 +58,7 @@
     "HeaderCodec",
     "HealthConnection",
     "InstanceExchange",
+    "InstanceFilter",
     "Instances",
     "LiveSettings",
     "Measurements",
@@ -57,11 +66,14 @@
     "Pages",
     "PlannedStop",
     "Registry",
+    "ReleaseSelection",
     "RetryBudget",
+    "Rollouts",
     "Routes",
     "RowStore",
     "StoreLink",
     "Stores",
     "Subsets",
+    "TrackedAttempt",
     "WaitingRoom",
 ]
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -89,6 +89,14 @@
     "unknown_keys": MetricDeclaration(
         Counter, "Requests refused as their key is missing or unknown."
     ),
+    "rollout_state": MetricDeclaration(
+        Gauge,
+        "Roll-out: 1 running, 2 completed, 3 rolled back, 0 without an order.",
+        ("service",),
+    ),
+    "rollout_share": MetricDeclaration(
+        Gauge, "Share of the requests sent to the target of a roll-out.", ("service",)
+    ),
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
