Forwarding tells whether requests to a path are idempotent

Cause: only forwarding knows the route of a request, and the front end must know before it starts one early.

Change: Forwarding.is_idempotent, and Reply.deadline_at, by which a front end sees that a stream it holds is cut short.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -76,6 +76,12 @@
     _drain_window: DrainWindow
     _split: WeightedSplit = field(factory=WeightedSplit)
 
+    def is_idempotent(self, host: str, path: str) -> bool:
+        """Return whether a request to a path would be sent, and may run twice."""
+        table = self._routes.table()
+        route = table.match(host, path) if table else None
+        return route is not None and bool(route.shares) and route.idempotent
+
     def serve(self, request: Request) -> Reply:
         """Return the final answer to a request; blocks until it or the deadline.
 
@@ -259,7 +265,7 @@
         if not failed:
             duration_s = self._clock.monotonic() - attempt.sent_at
             self._conditions.note_answer(state.route, attempt.choice, duration_s)
-            return _reply(answer)
+            return _reply(state, answer)
         state.failure = answer
         state.error = AnswerLostError(
             f"answered with status {answer.status}", step=STEP, peer=attempt.peer
@@ -352,7 +358,7 @@
     def _give_up(self, state: RequestState) -> Reply:
         """Return the last server error, or raise whether the request may have run."""
         if state.failure is not None:
-            return _reply(state.failure)
+            return _reply(state, state.failure)
         assert state.error is not None
         if state.possibly_run_count:
             if state.error.ran:
@@ -424,9 +430,14 @@
         return round((self._clock.monotonic() - at) * 1000, 1)
 
 
-def _reply(answer: InstanceAnswer) -> Reply:
+def _reply(state: RequestState, answer: InstanceAnswer) -> Reply:
     return Reply(
-        answer.status, answer.headers, answer.body, answer.stream, answer.length
+        answer.status,
+        answer.headers,
+        answer.body,
+        answer.stream,
+        answer.length,
+        state.deadline_at,
     )
 
 
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -1,5 +1,6 @@
 """Requests of clients, and the answers to them."""
 
+import math
 from collections.abc import Callable
 
 from attrs import field, frozen
@@ -109,6 +110,8 @@
         Body of an answer that is too large to be held whole.
     length : int or None
         Declared length of a streamed body in bytes, None if it was not declared.
+    deadline_at : float
+        When a streamed body is cut short, in seconds on the monotonic clock.
     """
 
     status: int
@@ -116,3 +119,4 @@
     body: bytes = field(default=b"", repr=False)
     stream: Body | None = field(default=None, eq=False, repr=False)
     length: int | None = None
+    deadline_at: float = math.inf
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -222,6 +222,14 @@
 class Forwarding(Protocol):
     """Forwarding of client requests to backend servers."""
 
+    def is_idempotent(self, host: str, path: str) -> bool:
+        """Return whether a request to a path would be sent, and may run twice.
+
+        ``host`` is in lower case, without port. False if no route matches, or if its
+        configuration is not understood. The method must not block.
+        """
+        ...
+
     def serve(self, request: Request) -> Reply:
         """Return the final answer to a request; blocks until it or the deadline.
 
