Serve pipelined requests of one connection side by side

Cause: a request that was sent before the first answer waited for all answers ahead of it.

Change: idempotent requests without a body are served early in the threads of the front end, and their replies wait for their turn. No request starts behind an answer that can close the connection by the entry's choice; an answer without length no longer closes it if something behind it was started. Reading stops at 8 requests or 32 KiB of heads, where disconnects are still detected. Bytes that the client sent are discarded before a close, as a reset drops the unsent part of the last answer. Setting limits.pipelined_requests, metric pipelined_requests.

--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -143,9 +143,13 @@
     memory_mb : float
         Memory of the process, in MB. A part of it holds bodies of requests; those that
         do not fit are refused.
+    pipelined_requests : int
+        Requests that one connection of a client may have in progress side by side. With
+        1, they are served one after another.
     """
 
     memory_mb: float = field(default=300.0, validator=[ge(32), le(1_000_000)])
+    pipelined_requests: int = field(default=8, validator=[ge(1), le(8)])
 
 
 @frozen
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from dotterelpier.errors import (
+    AnswerTimeoutError,
     DotterelpierError,
     InternalError,
     InvalidCallError,
@@ -13,6 +14,8 @@
     StoppingError,
 )
 from dotterelpier.fleet_settings import FleetSettings
+from dotterelpier.frontends.body_budget import BodyBudget
+from dotterelpier.frontends.early_requests import HELD_REPLY, make_early_serving
 from dotterelpier.frontends.http_server import (
     ARRIVED_AT,
     ON_CLIENT_LEFT,
@@ -41,11 +44,15 @@
 )
 
 STEP = "clients.decode"
+HELD_STEP = "clients.turn"
 # Concurrency limit: each request occupies a thread until its backend server answers.
 THREADS = 64
 # Share of the memory of the VM for bodies of requests. Each is held up to three times:
 # received, forwarded and written.
 BODY_MEMORY_SHARE = 0.2
+# Share of the memory of the VM for replies to requests that were served early. At
+# 200 MB, nine such requests are in progress at a time.
+EARLY_MEMORY_SHARE = 0.1
 STATUS_UNAVAILABLE = 503
 # A backend server works on a request for about this long, so a slot is free by then.
 RETRY_AFTER_S = 0.2
@@ -71,7 +78,31 @@
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Serve one request in a worker thread; answer errors with problem details."""
+        """Serve one request in a worker thread, or send the reply if it was served."""
+        reply = environ.get(HELD_REPLY)
+        if reply is None:
+            reply = self._answer(environ)
+        elif reply.stream is not None and self._clock.monotonic() > reply.deadline_at:
+            # What is left of the stream is cut short.
+            reply.stream.close()
+            error = AnswerTimeoutError(
+                "the turn of the answer came after its deadline", step=HELD_STEP
+            )
+            reply = self._problem_reply(environ, error)
+        return _encode(environ, reply, start_response)
+
+    def may_start_early(self, host: str, target: str) -> bool:
+        """Return whether a request without a body is idempotent."""
+        path = target.partition("?")[0]
+        return self._forwarding.is_idempotent(_host_name(host), path)
+
+    def answer_early(self, environ: Environ) -> Reply:
+        """Serve a request whose answer may not be sent yet."""
+        self._metrics.count("pipelined_requests")
+        return self._answer(environ)
+
+    def _answer(self, environ: Environ) -> Reply:
+        """Serve a request; answer errors with problem details."""
         try:
             request = self._decode(environ)
             reply = self._forwarding.serve(request)
@@ -88,7 +119,7 @@
             "answers", status=STATUS_CLASSES.get(reply.status // 100, "")
         )
         self._metrics.observe("answer_seconds", duration_s)
-        return _encode(environ, reply, start_response)
+        return reply
 
     def _decode(self, environ: Environ) -> Request:
         request_id = self._codec.attempt_id(environ)
@@ -101,7 +132,7 @@
         return Request(
             request_id,
             environ["REQUEST_METHOD"],
-            host.partition(":")[0].lower(),
+            _host_name(host),
             target,
             ((HOST_HEADER, host), *forwardable(request_headers(environ))),
             environ["wsgi.input"].read(),
@@ -130,6 +161,10 @@
         return Reply(status, tuple(headers), problem_body(error))
 
 
+def _host_name(host: str) -> str:
+    return host.partition(":")[0].lower()
+
+
 def _retry_after_s(error: DotterelpierError) -> float:
     if isinstance(error, StoppingError):
         # Other entries take the request at once.
@@ -206,6 +241,13 @@
         kernel.find(ServiceName.METRICS, Metrics),
     )
     limits = ClientLimits()
+    memory_bytes = settings.limits.memory_mb * 1e6
+    early_serving = make_early_serving(
+        application,
+        THREADS,
+        settings.limits.pipelined_requests,
+        BodyBudget(int(memory_bytes * EARLY_MEMORY_SHARE)),
+    )
     server = make_http_server(
         application,
         settings.entry.caller_address,
@@ -214,6 +256,7 @@
         limits.header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
         detects_disconnect=True,
-        body_memory_bytes=int(settings.limits.memory_mb * 1e6 * BODY_MEMORY_SHARE),
+        body_memory_bytes=int(memory_bytes * BODY_MEMORY_SHARE),
+        early_serving=early_serving if settings.limits.pipelined_requests > 1 else None,
     )
     return ClientFrontend(server, kernel.find(ServiceName.ROUTES, Routes))
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -9,13 +9,13 @@
 from loguru import logger
 from waitress import wasyncore
 from waitress.server import create_server
-from waitress.task import WSGITask
 
 from dotterelpier.clients.http_connection import is_readable, parse_address
 from dotterelpier.errors import SettingsError
 from dotterelpier.frontends.body_budget import BodyBudget
 from dotterelpier.frontends.dispatcher import make_dispatcher
-from dotterelpier.frontends.strict_http import StrictChannel
+from dotterelpier.frontends.early_requests import HELD_REPLY, EarlyServing
+from dotterelpier.frontends.pipelining import PipelinedChannel, PipelinedTask
 from dotterelpier.model.route import ClientLimits
 from dotterelpier.protocols import TaskKind, Tasks
 
@@ -50,14 +50,14 @@
 ON_CLIENT_LEFT = "dotterelpier.on_client_left"
 
 
-class EntryTask(WSGITask):
+class EntryTask(PipelinedTask):
     """Serves one request; closes the connection after it during a planned stop."""
 
     def build_response_header(self) -> bytes:
         """Return the head of the answer, with a close announced in a planned stop."""
         if getattr(self.channel.server, "closes_after_answers", False):
-            self.set_close_on_finish()
-        return bytes(super().build_response_header())
+            self.close_by_choice()
+        return super().build_response_header()
 
     def get_environment(self) -> Environ:
         """Return the WSGI environment with the keys that this server adds."""
@@ -66,10 +66,11 @@
         channel: Any = self.channel
         environ[ARRIVED_AT] = request.arrived_at
         environ[ON_CLIENT_LEFT] = channel.subscribe_closed
+        environ[HELD_REPLY] = channel.held_reply(request)
         return environ
 
 
-class EntryChannel(StrictChannel):
+class EntryChannel(PipelinedChannel):
     """Connection that reports a disconnect, and whether it is idle or busy."""
 
     task_class = EntryTask
@@ -125,6 +126,7 @@
     _tasks: Tasks
     _detects_disconnect: bool = False
     _body_budget: BodyBudget | None = None
+    _early_serving: EarlyServing | None = None
     _server: Any = None
     _socket_map: dict[int, Any] = field(factory=dict)
 
@@ -144,16 +146,20 @@
             ) from None
         self._server.channel_class = EntryChannel
         self._server.adj.body_budget = self._body_budget
+        self._server.early_serving = self._early_serving
         self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
     def _listen(self) -> Any:
         parsed = parse_address(self._address)
+        serving = self._early_serving
+        workers = serving.workers if serving else make_dispatcher(self._threads)
+        lookahead = LOOKAHEAD if self._detects_disconnect else 0
         return create_server(
             self._application,
             map=self._socket_map,
             host=parsed.host,
             port=parsed.port,
-            _dispatcher=make_dispatcher(self._threads),  # type: ignore[arg-type]
+            _dispatcher=workers,  # type: ignore[arg-type]
             ident=None,
             backlog=BACKLOG,
             connection_limit=CONNECTION_LIMIT,
@@ -164,7 +170,7 @@
             inbuf_overflow=BUFFER_OVERFLOW_BYTES,
             outbuf_overflow=BUFFER_OVERFLOW_BYTES,
             outbuf_high_watermark=OUTPUT_HIGH_WATERMARK_BYTES,
-            channel_request_lookahead=LOOKAHEAD if self._detects_disconnect else 0,
+            channel_request_lookahead=serving.limit - 1 if serving else lookahead,
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=True,
             expose_tracebacks=False,
@@ -265,6 +271,7 @@
     *,
     detects_disconnect: bool = False,
     body_memory_bytes: int | None = None,
+    early_serving: EarlyServing | None = None,
 ) -> HttpServer:
     """Return a server that does not listen yet.
 
@@ -274,6 +281,9 @@
     With ``detects_disconnect`` the server detects that a client closes its connection
     while a request is served. It then takes a half-closed connection for a disconnect,
     so clients must not close only their sending side.
+
+    With ``early_serving`` it serves requests of one connection side by side, in the
+    threads that come with it, and also detects disconnects.
     """
     return HttpServer(
         application,
@@ -284,4 +294,5 @@
         tasks,
         detects_disconnect,
         None if body_memory_bytes is None else BodyBudget(body_memory_bytes),
+        early_serving,
     )
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -80,6 +80,9 @@
     "answer_seconds": MetricDeclaration(
         Histogram, "Duration of requests of clients in seconds."
     ),
+    "pipelined_requests": MetricDeclaration(
+        Counter, "Requests started before earlier ones of their client were answered."
+    ),
     "hedges": MetricDeclaration(
         Counter, "Second attempts while the first one takes long.", ("service",)
     ),
