--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -45,6 +45,7 @@
     Instances,
     RetryBudget,
     Rollouts,
+    Routes,
     WaitingRoom,
 )
 
@@ -78,8 +79,15 @@
     _waiting_room: WaitingRoom
     _drain_window: DrainWindow
     _rollouts: Rollouts
+    _routes: Routes
     _split: WeightedSplit = field(factory=WeightedSplit)
 
+    def is_idempotent(self, host: str, path: str) -> bool:
+        """Return whether a request to a path would be sent, and may run twice."""
+        table = self._routes.table()
+        route = table.match(host, path) if table else None
+        return route is not None and bool(route.shares) and route.idempotent
+
     def serve(self, request: Request) -> Reply:
         """Return the final answer to a request; blocks until it or the deadline.
 
@@ -292,7 +300,7 @@
         attempt.choice.tracked.note_answer(state.route, answer, duration_s)
         if not failed:
             self._conditions.note_answer(state.route, attempt.choice, duration_s)
-            return _reply(answer)
+            return _reply(state, answer)
         state.failure = answer
         state.error = AnswerLostError(
             f"answered with status {answer.status}", step=STEP, peer=attempt.peer
@@ -391,7 +399,7 @@
     def _give_up(self, state: RequestState) -> Reply:
         """Return the last server error, or raise whether the request may have run."""
         if state.failure is not None:
-            return _reply(state.failure)
+            return _reply(state, state.failure)
         assert state.error is not None
         if state.possibly_run_count:
             if state.error.ran:
@@ -467,9 +475,14 @@
         return round((self._clock.monotonic() - at) * 1000, 1)
 
 
-def _reply(answer: InstanceAnswer) -> Reply:
+def _reply(state: RequestState, answer: InstanceAnswer) -> Reply:
     return Reply(
-        answer.status, answer.headers, answer.body, answer.stream, answer.length
+        answer.status,
+        answer.headers,
+        answer.body,
+        answer.stream,
+        answer.length,
+        state.deadline_at,
     )
 
 
@@ -489,4 +502,5 @@
         kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
         kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
         kernel.find(ServiceName.ROLLOUTS, Rollouts),
+        kernel.find(ServiceName.ROUTES, Routes),
     )
