Tests of pipelining cut requests at any byte for stops, deadlines and leaving

Cause: only the order of answers, refusals and streams were tested with requests split and joined at any byte.

Change: the tests of a planned stop, of deadlines and of a client that leaves draw the cuts too; the planned stop uses the shared entry.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from dotterelpier.clients.http_connection import parse_address
@@ -32,6 +32,8 @@
 # Larger than what the entry holds whole of one answer.
 LARGE = b"0123456789abcdef" * (3 << 16)
 FAILED = 'dotterelpier_answers_total{status="server-error"}'
+CUTS = st.lists(st.floats(0, 1), max_size=4)
+few_examples = settings(max_examples=6)
 _ids = itertools.count()
 
 
@@ -143,6 +145,16 @@
     return get(target, "Content-Length: 4", method="POST") + b"body"
 
 
+def send_cut(connection: socket.socket, content: bytes, cuts: list[float]) -> None:
+    """Send bytes in pieces, cut at these shares of their length."""
+    offsets = sorted({0, len(content), *(int(cut * len(content)) for cut in cuts)})
+    for start, end in itertools.pairwise(offsets):
+        # The entry may have closed the connection already.
+        with contextlib.suppress(OSError):
+            connection.sendall(content[start:end])
+        time.sleep(0.002)
+
+
 def read_answer(stream) -> Reply | None:
     """Read one answer of several on a connection; return None at its end."""
     try:
@@ -182,14 +194,6 @@
     entry.system.stop()
 
 
-@pytest.fixture
-def stopping_entry():
-    entry = Entry()
-    yield entry
-    entry.release(*entry.runs())
-    entry.system.stop()
-
-
 @pytest.fixture
 def entry(shared_entry):
     shared_entry.reset()
@@ -250,34 +254,59 @@
     assert sorted(entry.runs()) == started
 
 
+@few_examples
+@given(CUTS)
 def test_planned_stop_answers_what_was_started_and_sends_no_more(
-    stopping_entry,
+    shared_entry, cuts
 ) -> None:
     """Guards against dropping started requests, and against sending others."""
-    entry, started = stopping_entry, ["/a/hold-1", "/a/hold-2", "/a/hold-3"]
-    with entry.connect() as connection:
-        connection.sendall(b"".join(map(get, started)))
-        entry.wait_for_runs(*started)
-        entry.frontend.close_after_answers()
-        connection.sendall(get("/a/4"))
-        entry.settle()
-        entry.release(*started)
-        replies = read_all(connection)
+    shared_entry.reset()
+    started = ["/a/hold-1", "/a/hold-2", "/a/hold-3"]
+    with shared_entry.connect() as connection:
+        send_cut(connection, b"".join(map(get, started)), cuts)
+        shared_entry.wait_for_runs(*started)
+        shared_entry.frontend.close_after_answers()
+        try:
+            send_cut(connection, get("/a/4") + get("/a/5"), cuts)
+            shared_entry.settle()
+            shared_entry.release(*started)
+            replies = read_all(connection)
+        finally:
+            shared_entry.frontend._server._server.closes_after_answers = False
     assert [reply.body.decode() for reply in replies] == started
     closes = ["Connection" in reply.headers for reply in replies]
     assert closes == [False, False, True]
-    assert sorted(entry.runs()) == started
+    assert sorted(shared_entry.runs()) == started
 
 
-def test_deadline_counts_from_the_arrival_of_each_request(entry) -> None:
+@few_examples
+@given(CUTS)
+def test_deadline_counts_from_the_arrival_of_each_request(shared_entry, cuts) -> None:
     """Guards against deadlines that begin on the turn of a request."""
-    failed = entry.count(FAILED)
+    shared_entry.reset()
+    failed = shared_entry.count(FAILED)
     late = get("/a/hold-2", "X-Dotterelpier-Deadline-Ms: 300")
-    with entry.connect() as connection, connection.makefile("rb") as stream:
-        connection.sendall(get("/a/hold-1") + late + get("/a/3"))
-        wait_until(lambda: entry.count(FAILED) > failed, "the second one timed out")
-        entry.release("/a/hold-1")
+    with shared_entry.connect() as connection, connection.makefile("rb") as stream:
+        send_cut(connection, get("/a/hold-1") + late + get("/a/3"), cuts)
+        wait_until(lambda: shared_entry.count(FAILED) > failed, "the second timed out")
+        shared_entry.release("/a/hold-1")
         assert [read_answer(stream).status for _ in range(3)] == [200, 504, 200]
+    shared_entry.release("/a/hold-2")
+
+
+@few_examples
+@given(CUTS)
+def test_client_that_leaves_after_cut_requests_ends_them(shared_entry, cuts) -> None:
+    """Guards against slots kept for nobody, whatever a read returns."""
+    shared_entry.reset()
+    failed = shared_entry.count(FAILED)
+    targets = ["/a/hold-1", "/a/hold-2", "/a/hold-3"]
+    with shared_entry.connect() as connection:
+        send_cut(connection, b"".join(map(get, targets)), cuts)
+        shared_entry.wait_for_runs(*targets)
+    wait_until(lambda: shared_entry.count(FAILED) == failed + 3, "all have ended")
+    wait_until(shared_entry.is_unused, "threads and memory are free again")
+    shared_entry.release(*targets)
 
 
 @pytest.mark.parametrize("count", [3, 12])
@@ -427,7 +456,7 @@
 
 @given(
     st.lists(st.sampled_from([*list(KINDS)[:6] * 3, *KINDS]), min_size=1, max_size=12),
-    st.lists(st.floats(0, 1), max_size=4),
+    CUTS,
 )
 def test_requests_cut_at_any_byte_are_answered_in_order(
     shared_entry, kinds, cuts
@@ -441,13 +470,8 @@
     requests = [make_request(kind, number) for number, kind in enumerate(kinds)]
     targets = [request.split()[1].decode() for request in requests]
     content = b"".join(requests)
-    offsets = sorted({0, len(content), *(int(cut * len(content)) for cut in cuts)})
     with shared_entry.connect() as connection:
-        for start, end in itertools.pairwise(offsets):
-            # The entry may have closed the connection already.
-            with contextlib.suppress(OSError):
-                connection.sendall(content[start:end])
-            time.sleep(0.002)
+        send_cut(connection, content, cuts)
         with connection.makefile("rb") as stream:
             replies = list(
                 itertools.islice(iter(lambda: read_answer(stream), None), len(kinds))
