Decide on hedged requests within a limit that operators set

Cause: an idempotent request is hedged after 0.6 of its objective or when its server turned slow, limited by the retry budget only. Operators have no limit on the extra work, and it is spent alike on requests that gain much and little.

Nothing uses it yet. The load model of the waiting room draws work and phases in methods of their own, for the model that plays hedging.

--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -141,9 +141,9 @@
         queued = max(0, self.estimated_in_flight() + 1 - slots)
         return self.work_ratio(now) * (1 + queued / slots)
 
-    def takes_last_slot(self) -> bool:
-        """Return whether one more request would leave no slot free."""
-        return self.estimated_in_flight() + 1 >= self.instance.slots
+    def takes_last_slot(self, spare_slots: int = 0) -> bool:
+        """Return whether one more request would leave only spare slots free."""
+        return self.estimated_in_flight() + 1 >= self.instance.slots - spare_slots
 
     def invalidate(self, now: float) -> None:
         """Send it no requests until it answers a health check sent from ``now`` on."""
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -112,13 +112,20 @@
         self._evacuated_ids = evacuated
 
     def pick(
-        self, service: str, route: Route, excluded: frozenset[str], remaining_s: float
+        self,
+        service: str,
+        route: Route,
+        excluded: frozenset[str],
+        remaining_s: float,
+        *,
+        spare_room: bool = False,
     ) -> ChosenInstance | None:
         """Choose the best backend server and count one more request at it.
 
         Returns None if no eligible backend server has room and is expected to answer
         within ``remaining_s`` seconds. Quarantined ones are chosen only if there is
-        no other.
+        no other. With ``spare_room``, cold and quarantined ones and the last slot of
+        each are left to other requests.
         """
         table = self._routes.table()
         terms = table.config_by_service.get(service) if table else None
@@ -147,6 +154,12 @@
             not_quarantined = [
                 item for item in eligible if item.quarantined_until <= now
             ]
+            if spare_room:
+                not_quarantined = eligible = [
+                    item
+                    for item in not_quarantined
+                    if not item.is_cold(now) and not item.takes_last_slot(spare_slots)
+                ]
             me = self._fleet.me()
             chosen = self._chooser.choose(
                 not_quarantined or eligible, route, me.zone, now
--- /dev/null
+++ b/dotterelpier/fleet/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Hedged requests within a limit that operators set."""
--- a/dotterelpier/fleet/waiting.py
+++ b/dotterelpier/fleet/waiting.py
@@ -109,6 +109,16 @@
         with self._lock:
             return self._queue_by_service[ticket.service].tickets[0] is ticket
 
+    def note_waits(self, ticket: Ticket) -> None:
+        """Record that a request could not be sent at once."""
+        ticket.waits = True
+
+    def is_waited_for(self, service: str) -> bool:
+        """Return whether requests wait for room at a service."""
+        with self._lock:
+            queue = self._queue_by_service.get(service)
+            return queue is not None and any(item.waits for item in queue.tickets)
+
     def leave(self, ticket: Ticket, *, sent: bool) -> None:
         """Remove a request, which was sent to a backend server or gave up."""
         with self._lock:
--- a/dotterelpier/model/ticket.py
+++ b/dotterelpier/model/ticket.py
@@ -18,7 +18,10 @@
     deadline_at : float
         Deadline of its answer. All times are on the monotonic clock, in seconds.
     service : str
-        Service that it waits for.
+        Service that it is for.
+    waits : bool
+        Whether it could not be sent at once, as it was not its turn or there was no
+        room.
     """
 
     turn_at: float
@@ -26,3 +29,4 @@
     objective_at: float = field(order=False)
     deadline_at: float = field(order=False)
     service: str = field(order=False)
+    waits: bool = field(default=False, order=False)
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -7,6 +7,7 @@
 from dotterelpier.errors import OverloadedError
 from dotterelpier.fleet_settings import BoundSettings
 from dotterelpier.model.call import Headers
+from dotterelpier.model.hedge import HedgeCandidate
 from dotterelpier.model.instance import (
     HealthReport,
     Instance,
@@ -175,6 +176,68 @@
         ...
 
 
+class HedgePolicy(Protocol):
+    """When an idempotent request gets a second attempt, and how many requests do.
+
+    All times are on the monotonic clock, in seconds.
+    """
+
+    @property
+    def limited(self) -> bool:
+        """Return whether operators limit hedged requests to a share of all.
+
+        Hedged requests then leave cold and quarantined backend servers and the last
+        slot of each to other requests.
+        """
+        ...
+
+    def note_request(self, service: str) -> None:
+        """Count a request that was sent, which allows more hedged requests."""
+        ...
+
+    def due_at(self, route: Route, arrived_at: float, sent_at: float) -> float:
+        """Return when a hedged request is due, infinite if never.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        arrived_at, sent_at : float
+            When it arrived, and when its oldest pending attempt was sent.
+        """
+        ...
+
+    def admit(self, candidate: HedgeCandidate, now: float) -> bool:
+        """Return whether a hedged request may be sent now.
+
+        The caller reports with ``note_unsent`` if it was not sent nevertheless.
+        """
+        ...
+
+    def note_unsent(self, service: str, *, no_room: bool) -> None:
+        """Return an admitted hedged request; ``no_room`` if no server has room."""
+        ...
+
+    def note_attempt(self, route: Route, duration_s: float, *, ended: bool) -> None:
+        """Count the duration of an attempt that is no hedged request.
+
+        Not that of a failed one; ``ended`` is False if it was aborted.
+        """
+        ...
+
+    def note_won(self, service: str) -> None:
+        """Count a hedged request that gave the answer."""
+        ...
+
+
+class Hedging(Protocol):
+    """The policy for hedged requests that the settings in force ask for."""
+
+    def policy(self) -> HedgePolicy:
+        """Return the policy for a request that begins now."""
+        ...
+
+
 class WaitingRoom(Protocol):
     """Order and duration in which requests wait for room at a backend server."""
 
@@ -204,6 +267,14 @@
         """Return whether it is the turn of a request."""
         ...
 
+    def note_waits(self, ticket: Ticket) -> None:
+        """Record that a request could not be sent at once."""
+        ...
+
+    def is_waited_for(self, service: str) -> bool:
+        """Return whether requests wait for room at a service."""
+        ...
+
     def leave(self, ticket: Ticket, *, sent: bool) -> None:
         """Remove a request, which was sent to a backend server or gave up."""
         ...
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -160,7 +160,13 @@
     """Health and load of each backend server, and the choice among them."""
 
     def pick(
-        self, service: str, route: Route, excluded: frozenset[str], remaining_s: float
+        self,
+        service: str,
+        route: Route,
+        excluded: frozenset[str],
+        remaining_s: float,
+        *,
+        spare_room: bool = False,
     ) -> "Choice | None":
         """Choose the best backend server and count one more request at it.
 
@@ -174,6 +180,9 @@
             Ids of backend servers that must not be chosen.
         remaining_s : float
             Time left for the answer, in seconds.
+        spare_room : bool
+            Whether cold and quarantined backend servers and the last slot of each are
+            left to other requests.
 
         Returns
         -------
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -83,6 +83,15 @@
     "hedges": MetricDeclaration(
         Counter, "Second attempts while the first one takes long.", ("service",)
     ),
+    "hedges_won": MetricDeclaration(
+        Counter, "Second attempts within the limit that gave the answer.", ("service",)
+    ),
+    "hedges_denied": MetricDeclaration(
+        Counter, "Second attempts that the limit denied.", ("service",)
+    ),
+    "hedges_suppressed": MetricDeclaration(
+        Counter, "Second attempts not sent as room is short.", ("service",)
+    ),
     "refusals": MetricDeclaration(
         Counter, "Requests refused as no backend server has room.", ("service",)
     ),
--- a/tests/load_model.py
+++ b/tests/load_model.py
@@ -158,18 +158,20 @@
 
     def _report(self) -> None:
         for server in self.servers:
-            # A slow phase lasts about half a second.
-            if self.random.random() < REPORT_INTERVAL_S / 0.5:
-                slow = self.random.random() < self.slow_share
-                server.slowdown = self.slow_factor if slow else 1.0
+            self._change_phase(server)
             report = HealthReport(server.instance.id, True, server.load())
             self.conditions.note_check(
                 Measurement(server.instance.id, self.clock.now, report)
             )
 
+    def _change_phase(self, server: PlayedServer) -> None:
+        # A slow phase lasts about half a second.
+        if self.random.random() < REPORT_INTERVAL_S / 0.5:
+            slow = self.random.random() < self.slow_share
+            server.slowdown = self.slow_factor if slow else 1.0
+
     def _arrive(self, route: Route) -> None:
-        work_s = 0.16 * self.random.lognormvariate(0, 0.3)
-        item = PlayedRequest(route, self.clock.now, work_s)
+        item = PlayedRequest(route, self.clock.now, self._draw_work_s())
         self.requests.append(item)
         try:
             ticket = self.room.enter("svc", route, self.clock.now, self.clock.now + 2.0)
@@ -178,6 +180,9 @@
             return
         self.waiting.append((item, ticket))
 
+    def _draw_work_s(self) -> float:
+        return 0.16 * self.random.lognormvariate(0, 0.3)
+
     def _refuse(self, item: PlayedRequest, error: OverloadedError) -> None:
         item.refused_at, item.retry_after_s = self.clock.now, error.retry_after_s
 
@@ -185,12 +190,14 @@
         for item, ticket in sorted(self.waiting, key=lambda pair: pair[1].turn_at):
             overdue = self.clock.now >= ticket.wait_until
             if not overdue and not self.room.is_next(ticket):
+                self.room.note_waits(ticket)
                 continue
             due_at = ticket.deadline_at if overdue else ticket.objective_at
             choice = self.conditions.pick(
                 "svc", item.route, frozenset(), due_at - self.clock.now
             )
             if choice is None and not overdue:
+                self.room.note_waits(ticket)
                 continue
             self.waiting.remove((item, ticket))
             self.room.leave(ticket, sent=choice is not None)
@@ -198,10 +205,13 @@
                 self._refuse(item, self.room.refusal(ticket, "no room"))
                 continue
             item.choice, item.sent_at = choice, self.clock.now
-            server = next(
-                server for server in self.servers if server.instance == choice.instance
-            )
-            server.requests.append(item)
+            self._begin(item)
+
+    def _begin(self, item: PlayedRequest) -> None:
+        server = next(
+            server for server in self.servers if server.instance == item.choice.instance
+        )
+        server.requests.append(item)
 
     def _note_done(self, server: PlayedServer, item: PlayedRequest) -> None:
         self.conditions.note_ended(server.instance.id, True)
