Hedge requests within the limit of the settings

Cause: bounds.hedge_share was read by nothing.

Change: forwarding asks the hedging service when a second attempt is due and whether it may be sent, and reports how long attempts ran. A request keeps the policy that it began with. Without the limit, the fixed delay applies as before: due after 0.6 of the objective, not after 0.75, within the retry budget. A request that was denied a second attempt when its server turned slow may get one later.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -31,6 +31,7 @@
 )
 from dotterelpier.fleet.splitting import WeightedSplit
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.hedge import HedgeCandidate
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
 from dotterelpier.model.ticket import Ticket
@@ -39,6 +40,7 @@
     Conditions,
     DrainWindow,
     Forwarding,
+    Hedging,
     Instances,
     RetryBudget,
     Routes,
@@ -48,11 +50,6 @@
 STEP = "forwarding"
 # For a request without a timeout of its own.
 DEFAULT_TIMEOUT_S = 30.0
-# Share of the objective after which an idempotent request is hedged even if its backend
-# server is not known to be slow.
-HEDGE_DELAY_SHARE = 0.6
-# Share of the objective after which a hedged request could not end within it.
-HEDGE_LATEST_SHARE = 0.75
 # Shortest time until the deadline in which another attempt can succeed.
 MIN_ATTEMPT_S = 0.02
 FIRST_SERVER_ERROR_STATUS = 500
@@ -74,6 +71,7 @@
     _budget: RetryBudget
     _waiting_room: WaitingRoom
     _drain_window: DrainWindow
+    _hedging: Hedging
     _split: WeightedSplit = field(factory=WeightedSplit)
 
     def serve(self, request: Request) -> Reply:
@@ -120,10 +118,12 @@
         self._drain_window.check(request.arrived_at, deadline_at)
         service = self._split.choose(route)
         self._budget.note_request(service)
-        return RequestState(request, route, table.version, service, deadline_at)
+        policy = self._hedging.policy()
+        return RequestState(request, route, table.version, service, deadline_at, policy)
 
     def _run_attempts(self, state: RequestState) -> Reply:
         self._send_first(state)
+        state.hedging.note_request(state.service)
         while state.pending:
             match self._next_event(state):
                 case Answered(attempt):
@@ -145,7 +145,9 @@
     def _next_event(self, state: RequestState) -> Event | None:
         """Wait for the next event; return None when a hedged request is due."""
         now = self._clock.monotonic()
-        hedge_at = state.request.arrived_at + state.route.target_s * HEDGE_DELAY_SHARE
+        hedge_at = state.hedging.due_at(
+            state.route, state.request.arrived_at, state.pending[0].sent_at
+        )
         waits_for_hedge = state.route.idempotent and not state.hedged and now < hedge_at
         until = (
             min(hedge_at, state.deadline_at) if waits_for_hedge else state.deadline_at
@@ -176,6 +178,7 @@
                     waited_ms = self._ms_since(state.request.arrived_at)
                     reason = f"no backend server has room; waited {waited_ms} ms"
                     raise self._waiting_room.refusal(ticket, reason)
+                self._waiting_room.note_waits(ticket)
                 self._conditions.wait_for_room(remaining_s)
         finally:
             self._waiting_room.leave(ticket, sent=sent)
@@ -202,7 +205,9 @@
             return False
         return self._send(state, min(ticket.objective_at, state.deadline_at))
 
-    def _send(self, state: RequestState, due_at: float | None = None) -> bool:
+    def _send(
+        self, state: RequestState, due_at: float | None = None, *, hedge: bool = False
+    ) -> bool:
         """Send to the best backend server not yet tried; return False if there is none.
 
         Backend servers not expected to answer by ``due_at``, by default the deadline,
@@ -210,7 +215,11 @@
         """
         remaining_s = (due_at or state.deadline_at) - self._clock.monotonic()
         choice = self._conditions.pick(
-            state.service, state.route, frozenset(state.tried), remaining_s
+            state.service,
+            state.route,
+            frozenset(state.tried),
+            remaining_s,
+            spare_room=hedge and state.hedging.limited,
         )
         if choice is None:
             return False
@@ -225,7 +234,7 @@
         except TaskPoolFullError as error:
             self._conditions.note_ended(instance.id, None)
             raise OverloadedError(error.message, step=STEP, peer=instance.id) from None
-        attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op)
+        attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op, hedge)
         if state.route.idempotent:
             attempt.unwatch = self._conditions.watch_slowdown(
                 instance.id, lambda: state.inbox.put(SlowedDown(attempt))
@@ -259,6 +268,10 @@
         if not failed:
             duration_s = self._clock.monotonic() - attempt.sent_at
             self._conditions.note_answer(state.route, attempt.choice, duration_s)
+            if attempt.hedge:
+                state.hedging.note_won(state.service)
+            else:
+                state.hedging.note_attempt(state.route, duration_s, ended=True)
             return _reply(answer)
         state.failure = answer
         state.error = AnswerLostError(
@@ -304,22 +317,33 @@
             error=error.message,
         )
 
-    def _send_again(self, state: RequestState, due_at: float | None = None) -> bool:
-        """Send once more as a retry or hedged request; return whether it was sent.
+    def _send_again(self, state: RequestState) -> bool:
+        """Send once more as a retry; return whether it was sent.
 
         The route's attempts, the deadline, the retry budget and the risk of running
         the request twice may each forbid it.
         """
-        if not state.may_resend or state.sent_count >= state.route.max_attempts:
+        if not self._may_send_again(state) or not self._withdraw(state):
             return False
-        if self._clock.monotonic() + MIN_ATTEMPT_S > state.deadline_at:
+        return self._send_withdrawn(state)
+
+    def _may_send_again(self, state: RequestState) -> bool:
+        if not state.may_resend or state.sent_count >= state.route.max_attempts:
             return False
-        if not self._budget.try_withdraw(state.service):
+        return self._clock.monotonic() + MIN_ATTEMPT_S <= state.deadline_at
+
+    def _withdraw(self, state: RequestState) -> bool:
+        withdrawn = self._budget.try_withdraw(state.service)
+        if not withdrawn:
             self._metrics.count("retries_denied", service=state.service)
-            return False
+        return withdrawn
+
+    def _send_withdrawn(
+        self, state: RequestState, due_at: float | None = None, *, hedge: bool = False
+    ) -> bool:
         sent = False
         try:
-            sent = self._send(state, due_at)
+            sent = self._send(state, due_at, hedge=hedge)
         finally:
             if not sent:
                 self._budget.refund(state.service)
@@ -332,22 +356,35 @@
         """Send a hedged request to a second backend server, at most one per request."""
         if state.hedged or slow not in state.pending or not state.route.idempotent:
             return
-        now = self._clock.monotonic()
-        if now - state.request.arrived_at > state.route.target_s * HEDGE_LATEST_SHARE:
+        if not self._may_send_again(state):
+            return
+        candidate = HedgeCandidate(
+            state.service,
+            state.route,
+            slow.peer,
+            state.request.arrived_at,
+            slow.sent_at,
+        )
+        if not state.hedging.admit(candidate, self._clock.monotonic()):
             return
         state.hedged = True
+        if not self._withdraw(state):
+            state.hedging.note_unsent(state.service, no_room=False)
+            return
         # A hedged request is worth its cost only if it can end within the objective.
         due_at = min(state.request.arrived_at + state.route.target_s, state.deadline_at)
-        if self._send_again(state, due_at):
-            self._metrics.count("hedges", service=state.service)
-            logger.info(
-                "hedged request sent",
-                request=state.request.id,
-                peer=state.pending[-1].peer,
-                first=slow.peer,
-                work_ratio=self._conditions.work_ratio(slow.peer),
-                reason=reason,
-            )
+        if not self._send_withdrawn(state, due_at, hedge=True):
+            state.hedging.note_unsent(state.service, no_room=True)
+            return
+        self._metrics.count("hedges", service=state.service)
+        logger.info(
+            "hedged request sent",
+            request=state.request.id,
+            peer=state.pending[-1].peer,
+            first=slow.peer,
+            work_ratio=self._conditions.work_ratio(slow.peer),
+            reason=reason,
+        )
 
     def _give_up(self, state: RequestState) -> Reply:
         """Return the last server error, or raise whether the request may have run."""
@@ -370,9 +407,11 @@
         for attempt in state.pending:
             attempt.unwatch()
             attempt.exchange.abort()
-            overdue_at = attempt.sent_at + state.route.target_s
-            overdue = self._clock.monotonic() > overdue_at
+            duration_s = self._clock.monotonic() - attempt.sent_at
+            overdue = duration_s > state.route.target_s
             self._conditions.note_ended(attempt.peer, False if overdue else None)
+            if not attempt.hedge:
+                state.hedging.note_attempt(state.route, duration_s, ended=False)
         state.pending.clear()
 
     def _log_attempt(self, state: RequestState, attempt: Attempt) -> None:
@@ -445,4 +484,5 @@
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
         kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
         kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
+        kernel.find(ServiceName.HEDGING, Hedging),
     )
--- a/dotterelpier/fleet/request_state.py
+++ b/dotterelpier/fleet/request_state.py
@@ -8,7 +8,7 @@
 from dotterelpier.errors import CallError
 from dotterelpier.model.request import InstanceAnswer, Request
 from dotterelpier.model.route import Route
-from dotterelpier.protocols.fleet import Choice, InstanceExchange
+from dotterelpier.protocols.fleet import Choice, HedgePolicy, InstanceExchange
 
 
 @frozen
@@ -47,12 +47,15 @@
         When it was sent, on the monotonic clock.
     unwatch : Callable
         Unsubscribes the request from slowdowns of the backend server.
+    hedge : bool
+        Whether it was sent while another attempt was pending.
     """
 
     choice: Choice
     exchange: InstanceExchange
     sent_at: float
     unwatch: Callable[[], None]
+    hedge: bool = False
 
     @property
     def peer(self) -> str:
@@ -79,6 +82,8 @@
         Service chosen among those of the route.
     deadline_at : float
         Deadline of its final answer, on the monotonic clock.
+    hedging : HedgePolicy
+        Policy for hedged requests, which stays the same for this request.
     inbox : SimpleQueue
         Events not yet handled.
     pending : list of Attempt
@@ -90,7 +95,7 @@
     refusal_count : int
         Attempts that a backend server refused without running them.
     hedged : bool
-        Whether a hedged request was sent or denied; there is no second one.
+        Whether a hedged request was admitted, sent or not; there is no second one.
     error : CallError or None
         Error of the last failed attempt.
     failure : InstanceAnswer or None
@@ -102,6 +107,7 @@
     version: int
     service: str
     deadline_at: float
+    hedging: HedgePolicy
     inbox: "SimpleQueue[Event]" = field(factory=SimpleQueue)
     pending: list[Attempt] = field(factory=list)
     tried: set[str] = field(factory=set)
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -16,6 +16,7 @@
 from dotterelpier.fleet.directory import make_entry_directory
 from dotterelpier.fleet.drain_window import make_drain_window
 from dotterelpier.fleet.forwarding import make_forwarding
+from dotterelpier.fleet.hedging.service import make_hedging
 from dotterelpier.fleet.live_settings import make_live_settings
 from dotterelpier.fleet.liveness import make_liveness
 from dotterelpier.fleet.measurements import make_measurements
@@ -169,6 +170,8 @@
     kernel.register(ServiceName.RETRY_BUDGET, budget, (ServiceName.FLEET,))
     kernel.register(ServiceName.WAITING_ROOM, make_waiting_room(kernel))
     kernel.register(ServiceName.DRAIN_WINDOW, make_drain_window())
+    hedging = make_hedging(kernel)
+    kernel.register(ServiceName.HEDGING, hedging, (ServiceName.ROUTES,))
     dependencies: tuple[str, ...] = (ServiceName.CONDITIONS, ServiceName.RETRY_BUDGET)
     kernel.register(ServiceName.FORWARDING, make_forwarding(kernel), dependencies)
     stop = make_planned_stop(kernel)
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import threading
 from itertools import pairwise
 
 import pytest
@@ -19,6 +20,7 @@
 from dotterelpier.model.hedge import HedgeCandidate
 from dotterelpier.model.instance import InstanceNotice
 from tests.fakes import FixedSettings
+from tests.fleet_system import ScriptedInstance, answer, start_fleet_system
 from tests.hedge_model import LIMITED, play
 from tests.test_fleet_decisions import (
     ROUTE,
@@ -30,6 +32,8 @@
     member,
 )
 from tests.test_fleet_decisions import Fleet as FakeFleet
+from tests.test_fleet_requests import register_and_wait
+from tests.utils import request
 
 SHARE = 0.05
 
@@ -272,3 +276,43 @@
     assert policy._durations.estimate("r").count == 1
     policy.keep(type(TABLE)(2, {}, {}))
     assert policy._durations.estimate("r").count == 0
+
+
+@pytest.fixture
+def system(share):
+    system = start_fleet_system(hedge_share=share, retry_slack=50.0)
+    yield system
+    system.stop()
+
+
+@pytest.mark.parametrize(
+    ("kind", "share"), [("idempotent", 0.5), ("idempotent", 0.0), ("upload", 0.5)]
+)
+def test_slow_attempt_is_hedged_once_and_the_loser_is_aborted(system, kind) -> None:
+    released, hung = threading.Event(), []
+
+    def work(received):
+        if received.target == "/a/slow":
+            hung.append(received)
+            if len(hung) == 1:
+                released.wait(20.0)
+        return [answer(received, b"done")]
+
+    servers = [ScriptedInstance(f"i-{number}", "svc", work) for number in (1, 2, 3)]
+    register_and_wait(system, *servers, kind=kind, maxAttempts=3, timeoutMs=1500)
+    for _ in range(4):
+        assert system.send("/a/x").status == 200
+    slow = system.send("/a/slow")
+    metrics = request(system.settings.entry.metrics_address, "GET", "/metrics").body
+    hedged, limited = kind == "idempotent", system.settings.bounds.hedge_share > 0
+    assert (slow.status, len(hung)) == ((200, 2) if hedged else (504, 1))
+    for name, sent in ((b"hedges", hedged), (b"hedges_won", hedged and limited)):
+        line = b'dotterelpier_%s_total{service="svc"} 1.0' % name
+        assert (line in metrics) == sent
+    # The entry closed the connection of the attempt that lost or was given up, long
+    # before it closes idle ones.
+    closed = next(item for item in servers if hung[0] in item.runs).server.closed
+    while closed.acquire(blocking=False):
+        pass
+    released.set()
+    assert closed.acquire(timeout=2.0)
