--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -120,19 +120,28 @@
         self._evacuated_ids = evacuated
 
     def pick(
-        self, service: str, route: Route, excluded: frozenset[str], remaining_s: float
+        self,
+        service: str,
+        route: Route,
+        excluded: frozenset[str],
+        remaining_s: float,
+        *,
+        spare_room: bool = False,
     ) -> ChosenInstance | None:
         """Choose the best backend server and count one more request at it.
 
         Returns None if no eligible backend server has room and is expected to answer
         within ``remaining_s`` seconds. Quarantined ones are chosen only if there is
-        no other.
+        no other. With ``spare_room``, cold and quarantined ones and the last slot of
+        each are left to other requests.
         """
         selection = self._rollouts.select(service, is_first=not excluded)
         if selection is None:
-            return self._pick(service, route, excluded, remaining_s)
+            return self._pick(service, route, excluded, remaining_s, spare_room)
         return selection.choose(
-            lambda permits: self._pick(service, route, excluded, remaining_s, permits),
+            lambda permits: self._pick(
+                service, route, excluded, remaining_s, spare_room, permits
+            ),
             lambda chosen, tracked: evolve(chosen, tracked=tracked),
         )
 
@@ -142,6 +151,7 @@
         route: Route,
         excluded: frozenset[str],
         remaining_s: float,
+        spare_room: bool,
         permits: InstanceFilter | None = None,
     ) -> ChosenInstance | None:
         table = self._routes.table()
@@ -173,6 +183,12 @@
             not_quarantined = [
                 item for item in eligible if item.quarantined_until <= now
             ]
+            if spare_room:
+                not_quarantined = eligible = [
+                    item
+                    for item in not_quarantined
+                    if not item.is_cold(now) and not item.takes_last_slot(spare_slots)
+                ]
             me = self._fleet.me()
             chosen = self._chooser.choose(
                 not_quarantined or eligible, route, me.zone, now
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -33,6 +33,7 @@
 )
 from dotterelpier.fleet.splitting import WeightedSplit
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.hedge import HedgeCandidate
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice
 from dotterelpier.model.request import InstanceAnswer, Reply, Request
 from dotterelpier.model.ticket import Ticket
@@ -42,6 +43,7 @@
     Conditions,
     DrainWindow,
     Forwarding,
+    Hedging,
     Instances,
     RetryBudget,
     Rollouts,
@@ -52,11 +54,6 @@
 STEP = "forwarding"
 # For a request without a timeout of its own.
 DEFAULT_TIMEOUT_S = 30.0
-# Share of the objective after which an idempotent request is hedged even if its backend
-# server is not known to be slow.
-HEDGE_DELAY_SHARE = 0.6
-# Share of the objective after which a hedged request could not end within it.
-HEDGE_LATEST_SHARE = 0.75
 # Shortest time until the deadline in which another attempt can succeed.
 MIN_ATTEMPT_S = 0.02
 FIRST_SERVER_ERROR_STATUS = 500
@@ -80,6 +77,7 @@
     _drain_window: DrainWindow
     _rollouts: Rollouts
     _routes: Routes
+    _hedging: Hedging
     _split: WeightedSplit = field(factory=WeightedSplit)
 
     def is_idempotent(self, host: str, path: str) -> bool:
@@ -137,7 +135,8 @@
         self._rollouts.note_request(service)
         if account is not None:
             request = evolve(request, account=account)
-        return RequestState(request, route, table, service, deadline_at)
+        policy = self._hedging.policy()
+        return RequestState(request, route, table, service, deadline_at, policy)
 
     def _identify_again(self, state: RequestState) -> None:
         """Identify the account again if the configuration changed since.
@@ -161,6 +160,7 @@
 
     def _run_attempts(self, state: RequestState) -> Reply:
         self._send_first(state)
+        state.hedging.note_request(state.service)
         while state.pending:
             match self._next_event(state):
                 case Answered(attempt):
@@ -182,7 +182,9 @@
     def _next_event(self, state: RequestState) -> Event | None:
         """Wait for the next event; return None when a hedged request is due."""
         now = self._clock.monotonic()
-        hedge_at = state.request.arrived_at + state.route.target_s * HEDGE_DELAY_SHARE
+        hedge_at = state.hedging.due_at(
+            state.route, state.request.arrived_at, state.pending[0].sent_at
+        )
         waits_for_hedge = state.route.idempotent and not state.hedged and now < hedge_at
         until = (
             min(hedge_at, state.deadline_at) if waits_for_hedge else state.deadline_at
@@ -213,6 +215,7 @@
                     waited_ms = self._ms_since(state.request.arrived_at)
                     reason = f"no backend server has room; waited {waited_ms} ms"
                     raise self._waiting_room.refusal(ticket, reason)
+                self._waiting_room.note_waits(ticket)
                 self._conditions.wait_for_room(remaining_s)
         finally:
             self._waiting_room.leave(ticket, sent=sent)
@@ -240,7 +243,9 @@
             return False
         return self._send(state, min(ticket.objective_at, state.deadline_at))
 
-    def _send(self, state: RequestState, due_at: float | None = None) -> bool:
+    def _send(
+        self, state: RequestState, due_at: float | None = None, *, hedge: bool = False
+    ) -> bool:
         """Send to the best backend server not yet tried; return False if there is none.
 
         Backend servers not expected to answer by ``due_at``, by default the deadline,
@@ -248,7 +253,11 @@
         """
         remaining_s = (due_at or state.deadline_at) - self._clock.monotonic()
         choice = self._conditions.pick(
-            state.service, state.route, frozenset(state.tried), remaining_s
+            state.service,
+            state.route,
+            frozenset(state.tried),
+            remaining_s,
+            spare_room=hedge and state.hedging.limited,
         )
         if choice is None:
             return False
@@ -265,7 +274,7 @@
             choice.tracked.note_not_sent()
             raise OverloadedError(error.message, step=STEP, peer=instance.id) from None
         choice.tracked.note_sent(state.route)
-        attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op)
+        attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op, hedge)
         if state.route.idempotent:
             attempt.unwatch = self._conditions.watch_slowdown(
                 instance.id, lambda: state.inbox.put(SlowedDown(attempt))
@@ -300,6 +309,10 @@
         attempt.choice.tracked.note_answer(state.route, answer, duration_s)
         if not failed:
             self._conditions.note_answer(state.route, attempt.choice, duration_s)
+            if attempt.hedge:
+                state.hedging.note_won(state.service)
+            else:
+                state.hedging.note_attempt(state.route, duration_s, ended=True)
             return _reply(state, answer)
         state.failure = answer
         state.error = AnswerLostError(
@@ -347,12 +360,17 @@
             error=error.message,
         )
 
-    def _send_again(self, state: RequestState, due_at: float | None = None) -> bool:
-        """Send once more as a retry or hedged request; return whether it was sent.
+    def _send_again(self, state: RequestState) -> bool:
+        """Send once more as a retry; return whether it was sent.
 
         The route's attempts, the deadline, the retry budget and the risk of running
         the request twice may each forbid it.
         """
+        if not self._may_send_again(state) or not self._withdraw(state):
+            return False
+        return self._send_withdrawn(state)
+
+    def _may_send_again(self, state: RequestState) -> bool:
         if not state.may_resend or state.sent_count >= state.route.max_attempts:
             return False
         if self._clock.monotonic() + MIN_ATTEMPT_S > state.deadline_at:
@@ -361,12 +379,20 @@
             self._identify_again(state)
         except (UnknownKeyError, ConfigurationStaleError):
             return False
-        if not self._budget.try_withdraw(state.service):
+        return True
+
+    def _withdraw(self, state: RequestState) -> bool:
+        withdrawn = self._budget.try_withdraw(state.service)
+        if not withdrawn:
             self._metrics.count("retries_denied", service=state.service)
-            return False
+        return withdrawn
+
+    def _send_withdrawn(
+        self, state: RequestState, due_at: float | None = None, *, hedge: bool = False
+    ) -> bool:
         sent = False
         try:
-            sent = self._send(state, due_at)
+            sent = self._send(state, due_at, hedge=hedge)
         finally:
             if not sent:
                 self._budget.refund(state.service)
@@ -379,22 +405,35 @@
         """Send a hedged request to a second backend server, at most one per request."""
         if state.hedged or slow not in state.pending or not state.route.idempotent:
             return
-        now = self._clock.monotonic()
-        if now - state.request.arrived_at > state.route.target_s * HEDGE_LATEST_SHARE:
+        if not self._may_send_again(state):
+            return
+        candidate = HedgeCandidate(
+            state.service,
+            state.route,
+            slow.peer,
+            state.request.arrived_at,
+            slow.sent_at,
+        )
+        if not state.hedging.admit(candidate, self._clock.monotonic()):
             return
         state.hedged = True
+        if not self._withdraw(state):
+            state.hedging.note_unsent(state.service, no_room=False)
+            return
         # A hedged request is worth its cost only if it can end within the objective.
         due_at = min(state.request.arrived_at + state.route.target_s, state.deadline_at)
-        if self._send_again(state, due_at):
-            self._metrics.count("hedges", service=state.service)
-            logger.info(
-                "hedged request sent",
-                request=state.request.id,
-                peer=state.pending[-1].peer,
-                first=slow.peer,
-                work_ratio=self._conditions.work_ratio(slow.peer),
-                reason=reason,
-            )
+        if not self._send_withdrawn(state, due_at, hedge=True):
+            state.hedging.note_unsent(state.service, no_room=True)
+            return
+        self._metrics.count("hedges", service=state.service)
+        logger.info(
+            "hedged request sent",
+            request=state.request.id,
+            peer=state.pending[-1].peer,
+            first=slow.peer,
+            work_ratio=self._conditions.work_ratio(slow.peer),
+            reason=reason,
+        )
 
     def _give_up(self, state: RequestState) -> Reply:
         """Return the last server error, or raise whether the request may have run."""
@@ -417,10 +456,12 @@
         for attempt in state.pending:
             attempt.unwatch()
             attempt.exchange.abort()
-            overdue_at = attempt.sent_at + state.route.target_s
-            overdue = (now := self._clock.monotonic()) > overdue_at
-            attempt.choice.tracked.note_aborted(state.route, now - attempt.sent_at)
+            duration_s = self._clock.monotonic() - attempt.sent_at
+            overdue = duration_s > state.route.target_s
+            attempt.choice.tracked.note_aborted(state.route, duration_s)
             self._conditions.note_ended(attempt.peer, False if overdue else None)
+            if not attempt.hedge:
+                state.hedging.note_attempt(state.route, duration_s, ended=False)
         state.pending.clear()
 
     def _log_attempt(self, state: RequestState, attempt: Attempt) -> None:
@@ -503,4 +544,5 @@
         kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
         kernel.find(ServiceName.ROLLOUTS, Rollouts),
         kernel.find(ServiceName.ROUTES, Routes),
+        kernel.find(ServiceName.HEDGING, Hedging),
     )
