Refuse truthfully, at the first moment, within a third of the client's time

Causes, found by reviewing waiting and forwarding against each other: - Where all servers asked for a pause, Retry-After was the whole pause, also 40 s for a client with 2 s left. Where each attempt was refused, or no connection was left, it was 0.2 s whatever was left. - A further attempt that found no connection ended the request as "not run", though an earlier attempt may have run or was still running. - A request could wait until its deadline, when no server can answer any more. - A server of an evacuated zone kept its service open: requests waited for it while all others had asked for a pause.

Change: one rule for Retry-After, the predicted room or the end of the pause, spread, within 0.3 of the time left, as the client's time began earlier. A further attempt without a connection leaves the request to its earlier attempts. A wait ends while the usual work still fits before the deadline. Evacuated servers do not count as open.

--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -221,15 +221,15 @@
     def closed_until(self, service: str) -> float:
         """Return until when all backend servers of a service asked for no requests.
 
-        Minus infinity if one of them did not, or none is known. A request that waits
-        for longer than this cannot be served.
+        Minus infinity if one of them did not, or none is known. Those of evacuated
+        zones do not count. A request that stops waiting earlier cannot be served.
         """
         with self._changed:
             ids = self._subsets.ids_by_service().get(service, ())
             known = [
                 self._condition_by_id[item].closed_until
                 for item in ids
-                if item in self._condition_by_id
+                if item in self._condition_by_id and item not in self._evacuated_ids
             ]
             return min(known, default=-math.inf)
 
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -233,7 +233,7 @@
             )
         except TaskPoolFullError as error:
             self._conditions.note_ended(instance.id, None)
-            raise OverloadedError(error.message, step=STEP, peer=instance.id) from None
+            raise self._overloaded(state, error.message, instance.id) from None
         attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op, hedge)
         if state.route.idempotent:
             attempt.unwatch = self._conditions.watch_slowdown(
@@ -344,6 +344,14 @@
         sent = False
         try:
             sent = self._send(state, due_at, hedge=hedge)
+        except OverloadedError as error:
+            # An earlier attempt may have run or still run, so this is no refusal.
+            logger.warning(
+                "further attempt not sent",
+                request=state.request.id,
+                peer=error.peer,
+                error=error.message,
+            )
         finally:
             if not sent:
                 self._budget.refund(state.service)
@@ -398,9 +406,17 @@
                 f"an earlier attempt may have run; last error: {state.error.message}"
             )
             raise AnswerLostError(message, step=STEP, peer=state.error.peer)
-        raise OverloadedError(
-            f"not run: {state.error.message}", step=STEP, peer=state.error.peer
+        message = f"not run: {state.error.message}"
+        raise self._overloaded(state, message, state.error.peer)
+
+    def _overloaded(
+        self, state: RequestState, message: str, peer: str
+    ) -> OverloadedError:
+        error = OverloadedError(message, step=STEP, peer=peer)
+        error.retry_after_s = self._waiting_room.retry_after_s(
+            state.service, state.deadline_at
         )
+        return error
 
     def _abort_pending(self, state: RequestState) -> None:
         """Abort the pending attempts; one that exceeds the objective is a failure."""
--- a/dotterelpier/fleet/waiting.py
+++ b/dotterelpier/fleet/waiting.py
@@ -33,8 +33,9 @@
 PRIORITY_DELAY_SHARE = 0.1
 # Window in which the rate of requests that leave for a backend server is measured.
 RATE_WINDOW_S = 2.0
-# The client must be able to return and be served within the time that it has left.
-MAX_RETRY_AFTER_SHARE = 1 / 3
+# Clients honour up to a third of the time that they have left. Theirs began earlier and
+# the answer travels, so less is used.
+MAX_RETRY_AFTER_SHARE = 0.3
 MIN_RETRY_AFTER_S = 0.1
 # Clients that were refused together return spread over this multiple of the wait.
 RETRY_AFTER_SPREAD = 0.5
@@ -137,21 +138,28 @@
         """
         self._metrics.count("refusals", service=ticket.service)
         error = OverloadedError(reason, step=STEP, peer=ticket.service)
-        error.retry_after_s = self._retry_after_s(ticket)
-        closed_s = closed_until - self._clock.monotonic()
-        if 0 < closed_s < math.inf:
-            spread = 1 + RETRY_AFTER_SPREAD * self._random.random()
-            error.retry_after_s = max(error.retry_after_s, closed_s * spread)
+        error.retry_after_s = self.retry_after_s(
+            ticket.service, ticket.deadline_at, closed_until
+        )
         return error
 
-    def _retry_after_s(self, ticket: Ticket) -> float:
-        """Return when a client should return: when those that wait now are served."""
+    def retry_after_s(
+        self, service: str, deadline_at: float, closed_until: float = -math.inf
+    ) -> float:
+        """Return after which time a client should return, in seconds.
+
+        That is when those that wait now are served, and no backend server asks for a
+        pause any more.
+        """
+        now = self._clock.monotonic()
         with self._lock:
-            queue = self._queue_by_service.get(ticket.service, ServiceQueue())
+            queue = self._queue_by_service.setdefault(service, ServiceQueue())
             waiting = len(queue.tickets) + 1
-        wait_s = max(MIN_RETRY_AFTER_S, self._wait_s(ticket.service, waiting))
+        wait_s = max(MIN_RETRY_AFTER_S, self._wait_s(service, waiting))
+        if closed_until < math.inf:
+            wait_s = max(wait_s, closed_until - now)
         spread = 1 + RETRY_AFTER_SPREAD * self._random.random()
-        left_s = max(0.0, ticket.deadline_at - self._clock.monotonic())
+        left_s = max(0.0, deadline_at - now)
         return min(wait_s * spread, left_s * MAX_RETRY_AFTER_SHARE)
 
     def _wait_s(self, service: str, ahead: int) -> float:
@@ -179,7 +187,8 @@
     wait_s = min(longest_s, max(shortest_s, route.target_s - WORK_MARGIN * work_s))
     return Ticket(
         arrived_at + route.priority * route.target_s * PRIORITY_DELAY_SHARE,
-        min(arrived_at + wait_s, deadline_at),
+        # Later, no answer before the deadline is possible.
+        min(arrived_at + wait_s, deadline_at - work_s),
         arrived_at + route.target_s,
         deadline_at,
         service,
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -289,6 +289,16 @@
         """
         ...
 
+    def retry_after_s(
+        self, service: str, deadline_at: float, closed_until: float = float("-inf")
+    ) -> float:
+        """Return after which time a client should return, in seconds.
+
+        It follows from the requests that wait, is spread at random, and is within a
+        third of the time until the deadline of the client's request.
+        """
+        ...
+
 
 class Forwarding(Protocol):
     """Forwarding of client requests to backend servers."""
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -195,7 +195,8 @@
     def closed_until(self, service: str) -> float:
         """Return until when all backend servers of a service asked for no requests.
 
-        Minus infinity if one of them did not, or none is known.
+        Minus infinity if one of them did not, or none is known. Those of evacuated
+        zones do not count.
         """
         ...
 
