--- a/tests/fleet_processes.py
+++ b/tests/fleet_processes.py
@@ -71,15 +71,20 @@
         wait_until(entry.ready, f"{name} is ready")
         return entry
 
-    def launch(self, name: str, store_address: str, zone: str) -> EntryProcess:
-        """Write the settings of an entry and start it, without waiting."""
+    def launch(
+        self, name: str, store_address: str, zone: str, extra: str = ""
+    ) -> EntryProcess:
+        """Write the settings of an entry and start it, without waiting.
+
+        ``extra`` is appended to the settings.
+        """
         address_by_use = {use: free_address() for use in ADDRESSES}
         lines = ["[entry]", f'name = "{name}"', f'zone = "{zone}"']
         lines += [
             f'{use}_address = "{address}"' for use, address in address_by_use.items()
         ]
         lines += ["[store]", f'address = "{store_address}"']
-        lines += ["[bounds]", f"grace_s = {GRACE_S}", "retry_slack = 50"]
+        lines += ["[bounds]", f"grace_s = {GRACE_S}", "retry_slack = 50", extra]
         settings = self.folder / f"{name}.toml"
         settings.write_text("\n".join(lines))
         log = str(self.folder / f"{name}.log")
