Bound what clients that send slowly or do not read may take

Cause: unread answers were buffered for each connection without a common bound, a thread that wrote to a client waited for it without end, all addresses together could open more connections than there are descriptors, and waitress marks an idle connection whose buffer is full as closing without ever closing it. Answers also stayed in memory after their requests: futures, attempts and subscriptions referred to each other, idle connections to backend servers kept their last answer, and waitress keeps what it sent.

Change: the bytes held for clients are counted for the whole process against the memory of its settings. Long answers wait for memory, slow readers are closed when their memory or their thread is needed, and new requests are refused at the last level. Connections make way below the descriptor limit. Abandoned streams free their backend server at once.

--- a/dotterelpier/clients/backends.py
+++ b/dotterelpier/clients/backends.py
@@ -118,6 +118,7 @@
             attempt.deadline_at,
             attempt.whole_answer_bytes,
             decode=lambda answer: _decode(answer, attempt, server),
+            memory=attempt.call.memory,
         )
         exchange = BackendExchange(
             pooled.answer, lambda: self._cancel(server, attempt, None)
--- a/dotterelpier/clients/body_stream.py
+++ b/dotterelpier/clients/body_stream.py
@@ -1,11 +1,16 @@
 """Streamed body of a large answer, from a connection's task to the caller."""
 
+import contextlib
 from collections.abc import Callable
 from queue import Empty, Full, Queue
 
 from attrs import define, field
 
-from dotterelpier.errors import AnswerTimeoutError, CallError
+from dotterelpier.errors import (
+    AnswerAbandonedError,
+    AnswerTimeoutError,
+    CallError,
+)
 from dotterelpier.protocols import Clock
 
 MAX_QUEUED_PIECES = 8
@@ -72,8 +77,18 @@
         """Stop reading; shut the connection down if the body has not ended."""
         self._closed = True
         self._abort()
-        while not self._pieces.empty():
-            self._pieces.get_nowait()
+        self.discard()
+
+    def discard(self) -> None:
+        """Drop what is queued, so that ``put`` stops waiting for the reader."""
+        self._closed = True
+        with contextlib.suppress(Empty):
+            while True:
+                self._pieces.get_nowait()
+        message = "the answer was abandoned"
+        error = AnswerAbandonedError(message, step="answer.body", peer=self.peer)
+        with contextlib.suppress(Full):
+            self._pieces.put_nowait(error)
 
     def _remaining_s(self) -> float:
         return max(0.0, self.deadline_at - self._clock.monotonic())
--- a/dotterelpier/clients/exchanges.py
+++ b/dotterelpier/clients/exchanges.py
@@ -13,6 +13,7 @@
 )
 from dotterelpier.errors import CallError
 from dotterelpier.model.call import Headers
+from dotterelpier.model.client_memory import UNCOUNTED, AnswerMemory
 
 CONNECT_TIMEOUT_S = 1.0
 FRESH_IDLE_S = 1.0
@@ -94,6 +95,18 @@
         return next(values, None)
 
 
+class AnswerFuture(Future[Any]):
+    """Future of an answer that forgets its callbacks once they have run.
+
+    The callbacks refer to an attempt, which refers to the future. Without this, a long
+    answer would stay in memory until the garbage collector finds the cycle.
+    """
+
+    def _invoke_callbacks(self) -> None:
+        super()._invoke_callbacks()  # type: ignore[misc]
+        self._done_callbacks.clear()  # type: ignore[attr-defined]
+
+
 @define(eq=False)
 class PooledExchange:
     """A request and its answer, performed on a connection of a pool.
@@ -109,6 +122,8 @@
     decode : Callable
         Returns the decoded answer or raises ``CallError``; runs in the task of the
         connection.
+    memory : AnswerMemory
+        Memory for a long answer, reserved before it is read.
     answer : Future
         Result of ``decode``; fails with a ``CallError``.
     ended : Future of bool
@@ -116,18 +131,26 @@
         connection was lost in between.
     aborted : bool
         Whether the exchange must not be sent any more.
+    waited_for_memory : bool
+        Whether a long answer had to wait for memory before it was read.
     """
 
     request: HttpRequest
     deadline_at: float
     whole_answer_bytes: int
     decode: Callable[[HttpAnswer], Any]
-    answer: "Future[Any]" = field(factory=Future)
+    memory: AnswerMemory = UNCOUNTED
+    answer: "Future[Any]" = field(factory=AnswerFuture)
     ended: "Future[bool]" = field(factory=Future)
     aborted: bool = False
+    waited_for_memory: bool = False
 
     def fail(self, error: CallError, *, ended: bool) -> None:
-        """Fail ``answer`` and complete ``ended``, each unless it is already done."""
+        """Fail ``answer`` and complete ``ended``, each unless it is already done.
+
+        The error keeps no frames, as those hold what was read of the answer.
+        """
+        error.__traceback__ = error.__context__ = None
         if not self.ended.done():
             self.ended.set_result(ended)
         if not self.answer.done():
--- a/dotterelpier/clients/instances.py
+++ b/dotterelpier/clients/instances.py
@@ -65,6 +65,10 @@
     _pool: ConnectionPool
     _exchange: PooledExchange
 
+    def waited_for_memory(self) -> bool:
+        """Return whether the answer had to wait for memory before it was read."""
+        return self._exchange.waited_for_memory
+
     def abort(self) -> None:
         """Close the connection; the backend server then stops its work."""
         self._pool.abort(self._exchange)
@@ -114,6 +118,7 @@
             deadline_at,
             WHOLE_ANSWER_BYTES,
             decode=lambda answer: self._decode(answer, request, instance),
+            memory=request.memory,
         )
         self._pool.send(instance.address, exchange, fresh=fresh)
         return PooledInstanceExchange(exchange.answer, self._pool, exchange)
--- a/dotterelpier/clients/pooled_connection.py
+++ b/dotterelpier/clients/pooled_connection.py
@@ -1,7 +1,6 @@
 """A pooled HTTP connection, whose task performs its exchanges one after another."""
 
 import http.client
-import itertools
 import re
 import socket
 import threading
@@ -12,6 +11,13 @@
 from attrs import define, field
 from loguru import logger
 
+from dotterelpier.clients.answer_parts import (
+    PIECE_BYTES,
+    STREAMED_BYTES,
+    Reservation,
+    collect,
+    drain,
+)
 from dotterelpier.clients.body_stream import BodyStream
 from dotterelpier.clients.exchanges import (
     ConnectionRules,
@@ -38,7 +44,6 @@
 )
 from dotterelpier.protocols import Clock
 
-PIECE_BYTES = 64 << 10
 # Answers to other requests that may be skipped before the expected one.
 MAX_SKIPPED_ANSWERS = 2
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=([0-9]{1,6})")
@@ -93,6 +98,7 @@
     _connection: http.client.HTTPConnection | None = None
     _socket: socket.socket | None = None
     _current: PooledExchange | None = None
+    _body: BodyStream | None = None
     # Set for good once this side ended the connection; the end of the bytes then does
     # not mark the end of an answer.
     _is_shut_down: bool = False
@@ -107,24 +113,40 @@
     def serve(self) -> None:
         """Perform queued exchanges until the connection breaks or is idle too long."""
         try:
-            while (exchange := self._next()) is not None:
-                if not self._perform(exchange):
-                    return
+            while self._perform_next():
+                pass
         finally:
             self._pool.unregister(self)
             self._close()
             self._fail_queued()
 
+    def _perform_next(self) -> bool:
+        """Perform an exchange; return False if there is none or it was the last one.
+
+        The task must not refer to it while it waits for the next one, as its answer
+        would stay in memory.
+        """
+        exchange = self._next()
+        return exchange is not None and self._perform(exchange)
+
     def abort(self) -> None:
         """Shut the connection down, so that its task stops waiting for an answer."""
         with self._lock:
             self._shut_down()
 
     def abort_exchange(self, exchange: PooledExchange) -> None:
-        """Shut the connection down if it still performs this exchange."""
+        """Shut the connection down if it still performs this exchange.
+
+        Its answer is not read any more, so the task must not wait for that either.
+        """
         with self._lock:
-            if self._current is exchange:
-                self._shut_down()
+            if self._current is not exchange:
+                return
+            self._shut_down()
+            body = self._body
+        exchange.memory.wake()
+        if body is not None:
+            body.discard()
 
     def abort_overdue(self, now: float) -> None:
         """Shut the connection down if its exchange is past its deadline."""
@@ -132,6 +154,9 @@
             if self._current is not None and self._current.deadline_at < now:
                 self._shut_down()
 
+    def _is_unwanted(self) -> bool:
+        return self._is_shut_down
+
     def _shut_down(self) -> None:
         self._is_shut_down = True
         shut_down(self._socket)
@@ -181,6 +206,7 @@
     def _set_current(self, exchange: PooledExchange | None) -> None:
         with self._lock:
             self._current = exchange
+            self._body = None
 
     def _connect(self, exchange: PooledExchange) -> None:
         remaining_s = exchange.deadline_at - self._pool.clock.monotonic()
@@ -258,16 +284,23 @@
 
     def _receive(self, response: StrictResponse, exchange: PooledExchange) -> bool:
         pieces = self._pieces(response, exchange)
-        start = _collect(pieces, exchange.whole_answer_bytes)
-        if sum(map(len, start)) > exchange.whole_answer_bytes:
-            return self._stream(response, exchange, itertools.chain(start, pieces))
-        answer = _http_answer(response, b"".join(start))
+        reserved = Reservation(exchange, self._is_unwanted)
         try:
+            start = collect(pieces, response.length, reserved)
+            if sum(map(len, start)) > exchange.whole_answer_bytes:
+                return self._stream(response, exchange, start, pieces, reserved)
+            answer = _http_answer(response, b"".join(start))
+            reserved.shrink(len(answer.body))
+            start.clear()
             decoded = exchange.decode(answer)
         except RefusedError as error:
+            reserved.shrink(0)
             reusable = self._release(self._check_end(response))
             exchange.fail(error, ended=True)
             return reusable
+        except Exception:
+            reserved.shrink(0)
+            raise
         reusable = self._release(self._check_end(response))
         exchange.ended.set_result(True)
         exchange.answer.set_result(decoded)
@@ -277,7 +310,9 @@
         self,
         response: StrictResponse,
         exchange: PooledExchange,
+        start: list[bytes],
         pieces: Iterator[bytes],
+        reserved: Reservation,
     ) -> bool:
         stream = BodyStream(
             exchange.deadline_at,
@@ -290,8 +325,12 @@
         except AnswerMismatchError as error:
             # The next answer could be found only by reading all of this one.
             raise self._error(AnswerLostError, error.message) from None
+        with self._lock:
+            self._body = stream
         exchange.answer.set_result(answer)
         try:
+            self._pass_on(drain(start), stream)
+            reserved.shrink(STREAMED_BYTES)
             self._pass_on(pieces, stream)
             reusable = self._check_end(response)
         except (OSError, http.client.HTTPException, CallError) as error:
@@ -347,7 +386,7 @@
     def _release(self, reusable: bool) -> bool:
         """End the exchange; return whether the connection takes another."""
         with self._lock:
-            self._current = None
+            self._current = self._body = None
             reusable = reusable and not self._is_shut_down
         if reusable:
             self._pool.give_back(self)
@@ -388,16 +427,6 @@
     return int(stated[1]) * KEEP_ALIVE_SHARE if stated else float("inf")
 
 
-def _collect(pieces: Iterator[bytes], limit_bytes: int) -> list[bytes]:
-    """Read pieces until the body ends or they exceed the limit."""
-    collected: list[bytes] = []
-    size = 0
-    while size <= limit_bytes and (piece := next(pieces, b"")):
-        collected.append(piece)
-        size += len(piece)
-    return collected
-
-
 def _http_answer(
     response: StrictResponse, body: bytes, stream: BodyStream | None = None
 ) -> HttpAnswer:
--- a/dotterelpier/clients/relays.py
+++ b/dotterelpier/clients/relays.py
@@ -92,6 +92,7 @@
             attempt.deadline_at,
             attempt.whole_answer_bytes,
             decode=lambda answer: self._decode(answer, attempt, member),
+            memory=attempt.call.memory,
         )
         self._pool.send(member.relay_address, pooled, fresh=attempt.fresh_connection)
         return RelayExchange(pooled.answer, pooled.ended)
--- a/dotterelpier/entry.py
+++ b/dotterelpier/entry.py
@@ -13,6 +13,7 @@
 from dotterelpier.clients.relays import make_relays
 from dotterelpier.errors import SettingsError
 from dotterelpier.frontends.callers import make_caller_frontend, make_relay_frontend
+from dotterelpier.frontends.client_limits import make_limited_client_memory
 from dotterelpier.frontends.operators import make_operator_frontend
 from dotterelpier.frontends.peers import make_peer_frontend
 from dotterelpier.kernel import Kernel, make_kernel
@@ -116,6 +117,8 @@
     kernel.register(ServiceName.METRICS, make_metrics())
     kernel.register(tasks, make_tasks(settings.limits))
     kernel.register(timer, make_timer(kernel), (tasks,))
+    client_memory = make_limited_client_memory(kernel, settings.limits)
+    kernel.register(ServiceName.CLIENT_MEMORY, client_memory, (timer,))
     kernel.register(ServiceName.TABLE, platform)
     kernel.register(ServiceName.OBJECTS, platform)
     kernel.register(ServiceName.VMS, platform)
--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -166,6 +166,16 @@
     ran = True
 
 
+class AnswerAbandonedError(CallError):
+    """The answer was not received whole, through no fault of the backend server.
+
+    Its client is gone, or the entry has no memory for it.
+    """
+
+    code = "answer_abandoned"
+    ran = True
+
+
 class CutOffError(CallError):
     """The entry reaches neither the platform nor a majority of its peers."""
 
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from dotterelpier.errors import (
+    AnswerAbandonedError,
     AnswerLostError,
     AnswerTimeoutError,
     CallError,
@@ -89,6 +90,7 @@
         """
         state = self._begin(request)
         unsubscribe = request.on_client_left(lambda: state.inbox.put(ClientLeft()))
+        reply: Reply | None = None
         try:
             reply = self._run_attempts(state)
         except CallError as error:
@@ -97,6 +99,7 @@
         finally:
             unsubscribe()
             self._abort_pending(state)
+            _close_unused(state, reply)
         self._log_end(state, "answered", None, reply.status)
         return reply
 
@@ -225,7 +228,7 @@
         except TaskPoolFullError as error:
             self._conditions.note_ended(instance.id, None)
             raise OverloadedError(error.message, step=STEP, peer=instance.id) from None
-        attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op)
+        attempt = Attempt(choice, exchange, self._clock.monotonic())
         if state.route.idempotent:
             attempt.unwatch = self._conditions.watch_slowdown(
                 instance.id, lambda: state.inbox.put(SlowedDown(attempt))
@@ -244,9 +247,12 @@
         if attempt not in state.pending:
             return None
         state.pending.remove(attempt)
-        attempt.unwatch()
+        attempt.stop_watching()
         try:
             answer = attempt.exchange.answer.result()
+        except AnswerAbandonedError:
+            self._conditions.note_ended(attempt.peer, None)
+            raise
         except CallError as error:
             self._handle_error(state, attempt, error)
             return None
@@ -257,9 +263,11 @@
         self._conditions.note_ended(attempt.peer, not failed)
         state.possibly_run_count += 1
         if not failed:
-            duration_s = self._clock.monotonic() - attempt.sent_at
-            self._conditions.note_answer(state.route, attempt.choice, duration_s)
+            if not attempt.exchange.waited_for_memory():
+                duration_s = self._clock.monotonic() - attempt.sent_at
+                self._conditions.note_answer(state.route, attempt.choice, duration_s)
             return _reply(answer)
+        _close_unused(state, None)
         state.failure = answer
         state.error = AnswerLostError(
             f"answered with status {answer.status}", step=STEP, peer=attempt.peer
@@ -332,6 +340,9 @@
         """Send a hedged request to a second backend server, at most one per request."""
         if state.hedged or slow not in state.pending or not state.route.idempotent:
             return
+        if slow.exchange.waited_for_memory():
+            # Its backend server has answered; a second answer needs memory as well.
+            return
         now = self._clock.monotonic()
         if now - state.request.arrived_at > state.route.target_s * HEDGE_LATEST_SHARE:
             return
@@ -368,10 +379,13 @@
     def _abort_pending(self, state: RequestState) -> None:
         """Abort the pending attempts; one that exceeds the objective is a failure."""
         for attempt in state.pending:
-            attempt.unwatch()
+            attempt.stop_watching()
             attempt.exchange.abort()
             overdue_at = attempt.sent_at + state.route.target_s
-            overdue = self._clock.monotonic() > overdue_at
+            overdue = (
+                self._clock.monotonic() > overdue_at
+                and not attempt.exchange.waited_for_memory()
+            )
             self._conditions.note_ended(attempt.peer, False if overdue else None)
         state.pending.clear()
 
@@ -430,8 +444,11 @@
     )
 
 
-def _no_op() -> None:
-    return None
+def _close_unused(state: RequestState, reply: Reply | None) -> None:
+    """Close the stream of the last server error unless it is the reply."""
+    stream = None if state.failure is None else state.failure.stream
+    if stream is not None and (reply is None or reply.stream is not stream):
+        stream.close()
 
 
 def make_forwarding(kernel: Kernel) -> Forwarding:
--- a/dotterelpier/fleet/request_state.py
+++ b/dotterelpier/fleet/request_state.py
@@ -46,19 +46,29 @@
     sent_at : float
         When it was sent, on the monotonic clock.
     unwatch : Callable
-        Unsubscribes the request from slowdowns of the backend server.
+        Unsubscribes the request from slowdowns of the backend server, if subscribed.
     """
 
     choice: Choice
     exchange: InstanceExchange
     sent_at: float
-    unwatch: Callable[[], None]
+    unwatch: Callable[[], None] | None = None
 
     @property
     def peer(self) -> str:
         """Return the id of the backend server."""
         return self.choice.instance.id
 
+    def stop_watching(self) -> None:
+        """Unsubscribe from slowdowns.
+
+        The subscription refers to this attempt. If it were kept, the answer would stay
+        in memory until the garbage collector finds the cycle.
+        """
+        unwatch, self.unwatch = self.unwatch, None
+        if unwatch is not None:
+            unwatch()
+
 
 @define(eq=False)
 class RequestState:
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -30,6 +30,7 @@
 from dotterelpier.fleet.subsets import make_subsets
 from dotterelpier.fleet.waiting import make_waiting_room
 from dotterelpier.fleet_settings import FleetEntrySettings, FleetSettings
+from dotterelpier.frontends.client_limits import make_limited_client_memory
 from dotterelpier.frontends.clients import make_client_frontend
 from dotterelpier.frontends.fleet_peers import make_fleet_peer_frontend
 from dotterelpier.frontends.pages import (
@@ -132,6 +133,8 @@
     kernel.register(ServiceName.CLOCK, make_clock())
     kernel.register(ServiceName.METRICS, make_metrics())
     kernel.register(timer, make_timer(kernel), (tasks,))
+    client_memory = make_limited_client_memory(kernel, settings.limits)
+    kernel.register(ServiceName.CLIENT_MEMORY, client_memory, (timer,))
     kernel.register(ServiceName.STORES, make_row_stores(settings.store.address))
     kernel.register(ServiceName.CODEC, make_store_codec())
     kernel.register(ServiceName.HEADER_CODEC, make_platform_headers())
--- a/dotterelpier/fleet_settings.py
+++ b/dotterelpier/fleet_settings.py
@@ -141,11 +141,29 @@
     Attributes
     ----------
     memory_mb : float
-        Memory of the process, in MB. A part of it holds bodies of requests; those that
-        do not fit are refused.
+        Memory of the process, in MB. What it does not need itself is for the requests
+        and answers of clients; those that do not fit wait or are refused.
+    connections : int
+        Limit of open connections of clients, other entries and pages together. Near it,
+        the connection idle for longest is closed for each new one.
+    descriptors : int
+        Descriptor limit of the process; 0 stands for the one that it runs under. Three
+        quarters of what is free at the start may be connections of clients.
+    read_bytes_per_s : float
+        Slowest rate at which a client counts as reading, in bytes per second.
+    stall_s : float
+        Time for which a client must be slower to count as stalled, in seconds. A
+        stalled connection is closed when its memory or its thread is needed.
+    stalled_max_s : float
+        Time after which a stalled connection is closed in any case, in seconds.
     """
 
     memory_mb: float = field(default=300.0, validator=[ge(32), le(1_000_000)])
+    connections: int = field(default=4096, validator=[ge(16), le(1_000_000)])
+    descriptors: int = field(default=0, validator=[ge(0), le(10_000_000)])
+    read_bytes_per_s: float = field(default=16_384.0, validator=[ge(0), le(1 << 30)])
+    stall_s: float = field(default=1.0, validator=[gt(0), le(600)])
+    stalled_max_s: float = field(default=45.0, validator=[gt(0), le(3600)])
 
 
 @frozen
--- a/dotterelpier/frontends/callers.py
+++ b/dotterelpier/frontends/callers.py
@@ -17,6 +17,7 @@
     UnknownServiceError,
 )
 from dotterelpier.frontends.http_server import (
+    MEMORY,
     Environ,
     HttpServer,
     StartResponse,
@@ -28,6 +29,7 @@
 from dotterelpier.protocols import (
     Admission,
     Calls,
+    ClientMemory,
     Clock,
     Directory,
     Drain,
@@ -102,6 +104,7 @@
             service = call.service
             if not self._drain.takes_calls():
                 raise StoppingError("entry is stopping", step="callers.serve")
+            environ[MEMORY].set_deadline(call.deadline_at)
             answer = self._calls.serve(call)
         except DotterelpierError as error:
             self._log_failure(call_id, service, error)
@@ -165,6 +168,7 @@
             else "",
             self._relayed and environ.get(wsgi_variable_of(ONCE_HEADER)) == ONCE,
             _waiting_count(environ) if self._relayed else 0,
+            environ[MEMORY],
         )
 
     def _timeout_s(self, environ: Environ, service_name: str) -> float:
@@ -243,6 +247,7 @@
             raise
         if answer.stream is not None:
             return answer.stream
+        environ[MEMORY].hand_over()
         # waitress would send this body although an answer to HEAD must have none.
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [answer.body]
 
@@ -322,6 +327,8 @@
         settings.limits.max_body_bytes,
         settings.limits.max_header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
+        client_memory=kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
+        refuses_when_full=True,
     )
 
 
@@ -334,4 +341,6 @@
         settings.limits.max_body_bytes,
         settings.limits.max_header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
+        client_memory=kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
+        refuses_when_full=True,
     )
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -15,6 +15,7 @@
 from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.frontends.http_server import (
     ARRIVED_AT,
+    MEMORY,
     ON_CLIENT_LEFT,
     Environ,
     HttpServer,
@@ -25,7 +26,7 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.request import Reply, Request
 from dotterelpier.model.route import ClientLimits
-from dotterelpier.protocols import Clock, Metrics, ServiceName, Tasks
+from dotterelpier.protocols import ClientMemory, Clock, Metrics, ServiceName, Tasks
 from dotterelpier.protocols.fleet import Forwarding, HeaderCodec, Routes
 from dotterelpier.wire.backend import (
     NOT_FORWARDED,
@@ -46,6 +47,8 @@
 # Share of the memory of the VM for bodies of requests. Each is held up to three times:
 # received, forwarded and written.
 BODY_MEMORY_SHARE = 0.2
+# For a request without a timeout of its own; its route may set a shorter one.
+DEFAULT_TIMEOUT_S = 30.0
 STATUS_UNAVAILABLE = 503
 # A backend server works on a request for about this long, so a slot is free by then.
 RETRY_AFTER_S = 0.2
@@ -74,6 +77,8 @@
         """Serve one request in a worker thread; answer errors with problem details."""
         try:
             request = self._decode(environ)
+            timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
+            environ[MEMORY].set_deadline(request.arrived_at + timeout_s)
             reply = self._forwarding.serve(request)
         except DotterelpierError as error:
             reply = self._problem_reply(environ, error)
@@ -108,6 +113,7 @@
             environ[ARRIVED_AT],
             self._codec.client_timeout_s(environ),
             environ[ON_CLIENT_LEFT],
+            environ[MEMORY],
         )
 
     def _problem_reply(self, environ: Environ, error: DotterelpierError) -> Reply:
@@ -153,6 +159,7 @@
         raise
     if reply.stream is not None:
         return reply.stream
+    environ[MEMORY].hand_over()
     return [] if environ["REQUEST_METHOD"] == "HEAD" else [reply.body]
 
 
@@ -213,6 +220,8 @@
         limits.body_bytes,
         limits.header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
+        client_memory=kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
+        refuses_when_full=True,
         detects_disconnect=True,
         body_memory_bytes=int(settings.limits.memory_mb * 1e6 * BODY_MEMORY_SHARE),
     )
--- a/dotterelpier/frontends/dispatcher.py
+++ b/dotterelpier/frontends/dispatcher.py
@@ -1,9 +1,10 @@
 """Worker threads of a waitress server, started as they are needed."""
 
-from concurrent.futures import ThreadPoolExecutor
+import threading
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
-from attrs import define
+from attrs import define, field
 from loguru import logger
 
 THREAD_NAME_PREFIX = "http"
@@ -15,39 +16,70 @@
 
     The dispatcher of waitress starts all its threads at once. This one starts a thread
     only if no started one is idle, so that memory follows the load.
+
+    Attributes
+    ----------
+    name : str
+        Name of the address that the server listens on.
+    threads : int
+        Largest number of threads.
+    refuses_when_full : bool
+        Whether requests are refused while clients hold too much memory.
     """
 
+    name: str
+    threads: int
+    refuses_when_full: bool
     _executor: ThreadPoolExecutor
+    _queued: int = 0
+    _lock: threading.Lock = field(factory=threading.Lock)
 
     def set_thread_count(self, count: int) -> None:
         """Do nothing; the size of the pool is fixed. waitress calls it at its start."""
 
+    def queued(self) -> int:
+        """Return how many connections wait for a thread."""
+        return self._queued
+
     def add_task(self, task: Any) -> None:
         """Queue a connection whose next request is complete.
 
         After ``shutdown``, the request is cancelled.
         """
+        self._count_queued(1)
         try:
-            future = self._executor.submit(_serve, task)
+            future = self._executor.submit(self._serve, task)
         except RuntimeError:
+            self._count_queued(-1)
             task.cancel()
             return
-        future.add_done_callback(lambda done: done.cancelled() and task.cancel())
+        future.add_done_callback(lambda done: self._cancel(done, task))
 
     def shutdown(self, cancel_pending: bool = True, timeout: float = 0) -> bool:
         """Start no more requests; those in progress end by themselves."""
         self._executor.shutdown(wait=False, cancel_futures=cancel_pending)
         return True
 
+    def _serve(self, task: Any) -> None:
+        self._count_queued(-1)
+        try:
+            task.service()
+        except Exception:
+            logger.exception("serving a connection failed unexpectedly")
+
+    def _cancel(self, done: "Future[None]", task: Any) -> None:
+        if done.cancelled():
+            self._count_queued(-1)
+            task.cancel()
 
-def _serve(task: Any) -> None:
-    try:
-        task.service()
-    except Exception:
-        logger.exception("serving a connection failed unexpectedly")
+    def _count_queued(self, change: int) -> None:
+        with self._lock:
+            self._queued += change
 
 
-def make_dispatcher(threads: int) -> LazyDispatcher:
+def make_dispatcher(
+    threads: int, name: str = "", *, refuses_when_full: bool = False
+) -> LazyDispatcher:
     """Return a dispatcher with at most ``threads`` worker threads, none started."""
     executor = ThreadPoolExecutor(threads, thread_name_prefix=THREAD_NAME_PREFIX)
-    return LazyDispatcher(executor)
+    return LazyDispatcher(name, threads, refuses_when_full, executor)
--- a/dotterelpier/frontends/http_server.py
+++ b/dotterelpier/frontends/http_server.py
@@ -8,16 +8,17 @@
 from attrs import define, field
 from loguru import logger
 from waitress import wasyncore
-from waitress.server import create_server
 from waitress.task import WSGITask
 
 from dotterelpier.clients.http_connection import is_readable, parse_address
 from dotterelpier.errors import SettingsError
+from dotterelpier.frontends.accounted_channel import AccountedChannel
 from dotterelpier.frontends.body_budget import BodyBudget
+from dotterelpier.frontends.client_memory import make_unlimited_client_memory
 from dotterelpier.frontends.dispatcher import make_dispatcher
-from dotterelpier.frontends.strict_http import StrictChannel
+from dotterelpier.frontends.entry_server import make_entry_server
 from dotterelpier.model.route import ClientLimits
-from dotterelpier.protocols import TaskKind, Tasks
+from dotterelpier.protocols import ClientMemory, RequestMemory, TaskKind, Tasks
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -28,7 +29,8 @@
 BUFFER_OVERFLOW_BYTES = 1 << 30
 # Output that may wait for a caller; above it, the stream blocks until the caller reads.
 OUTPUT_HIGH_WATERMARK_BYTES = 1 << 20
-CONNECTION_LIMIT = 4096
+# Above this limit waitress would stop accepting. The client memory has a lower one.
+CONNECTION_LIMIT = 1 << 20
 
 # The server closes a connection if a request does not arrive completely within this
 # time, or if the connection is idle for as long.
@@ -45,14 +47,27 @@
 LOOKAHEAD = 1
 
 # Keys that the server adds to the WSGI environment: when the headers of the request
-# arrived, in seconds of the monotonic clock, and the method ``subscribe_closed``.
+# arrived, in seconds of the monotonic clock, the method ``subscribe_closed``, and the
+# memory of the request.
 ARRIVED_AT = "dotterelpier.arrived_at"
 ON_CLIENT_LEFT = "dotterelpier.on_client_left"
+MEMORY = "dotterelpier.memory"
 
 
 class EntryTask(WSGITask):
     """Serves one request; closes the connection after it during a planned stop."""
 
+    channel: Any
+    memory: RequestMemory
+
+    def service(self) -> None:
+        """Serve the request; what it reserved is free again afterwards."""
+        self.memory = self.channel.account.begin_request()
+        try:
+            super().service()
+        finally:
+            self.memory.close()
+
     def build_response_header(self) -> bytes:
         """Return the head of the answer, with a close announced in a planned stop."""
         if getattr(self.channel.server, "closes_after_answers", False):
@@ -66,10 +81,11 @@
         channel: Any = self.channel
         environ[ARRIVED_AT] = request.arrived_at
         environ[ON_CLIENT_LEFT] = channel.subscribe_closed
+        environ[MEMORY] = self.memory
         return environ
 
 
-class EntryChannel(StrictChannel):
+class EntryChannel(AccountedChannel):
     """Connection that reports a disconnect, and whether it is idle or busy."""
 
     task_class = EntryTask
@@ -108,10 +124,6 @@
         """Return whether no part of a request has arrived and no answer is pending."""
         return not self.busy() and self.request is None
 
-    def busy(self) -> bool:
-        """Return whether a request is being served or an answer is not yet sent."""
-        return bool(self.requests or self.total_outbufs_len)
-
 
 @define
 class HttpServer:
@@ -123,8 +135,10 @@
     _max_body_bytes: int
     _max_header_bytes: int
     _tasks: Tasks
+    _client_memory: ClientMemory
     _detects_disconnect: bool = False
     _body_budget: BodyBudget | None = None
+    _refuses_when_full: bool = False
     _server: Any = None
     _socket_map: dict[int, Any] = field(factory=dict)
 
@@ -142,18 +156,22 @@
             raise SettingsError(
                 error.strerror or str(error), step="http.listen", peer=self._address
             ) from None
-        self._server.channel_class = EntryChannel
         self._server.adj.body_budget = self._body_budget
         self._tasks.submit(TaskKind.FRONTEND, self._server.run)
 
     def _listen(self) -> Any:
         parsed = parse_address(self._address)
-        return create_server(
+        dispatcher = make_dispatcher(
+            self._threads, self._address, refuses_when_full=self._refuses_when_full
+        )
+        return make_entry_server(
             self._application,
-            map=self._socket_map,
+            dispatcher,
+            self._client_memory,
+            EntryChannel,
+            self._socket_map,
             host=parsed.host,
             port=parsed.port,
-            _dispatcher=make_dispatcher(self._threads),  # type: ignore[arg-type]
             ident=None,
             backlog=BACKLOG,
             connection_limit=CONNECTION_LIMIT,
@@ -218,8 +236,9 @@
 
     def _close_listener(self) -> None:
         if self._server.accepting:
-            while is_readable(self._server.socket):
-                self._server.handle_accept()
+            server = self._server
+            while is_readable(server.socket) and server.takes_connections():
+                server.handle_accept()
             self._server.accepting = False
             self._server.del_channel(self._socket_map)
             self._server.socket.close()
@@ -263,11 +282,17 @@
     max_header_bytes: int,
     tasks: Tasks,
     *,
+    client_memory: ClientMemory | None = None,
+    refuses_when_full: bool = False,
     detects_disconnect: bool = False,
     body_memory_bytes: int | None = None,
 ) -> HttpServer:
     """Return a server that does not listen yet.
 
+    With ``client_memory``, the server keeps its limits together with the other servers
+    of the process. With ``refuses_when_full``, requests are refused with 503 while
+    clients hold too much memory.
+
     With ``body_memory_bytes``, requests whose bodies do not fit into that much memory
     together with those of others are refused with 503, if possible unread.
 
@@ -282,6 +307,8 @@
         max_body_bytes,
         max_header_bytes,
         tasks,
+        client_memory or make_unlimited_client_memory(),
         detects_disconnect,
         None if body_memory_bytes is None else BodyBudget(body_memory_bytes),
+        refuses_when_full,
     )
--- a/dotterelpier/frontends/operators.py
+++ b/dotterelpier/frontends/operators.py
@@ -12,7 +12,7 @@
     status_line,
 )
 from dotterelpier.kernel import Kernel
-from dotterelpier.protocols import Metrics, ServiceName, Status, Tasks
+from dotterelpier.protocols import ClientMemory, Metrics, ServiceName, Status, Tasks
 from dotterelpier.settings import Settings
 from dotterelpier.wire.structure import encode_json
 
@@ -29,6 +29,7 @@
 
     _status: Status
     _metrics: Metrics
+    _client_memory: ClientMemory
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -47,6 +48,7 @@
     def _page(self, path: str) -> tuple[int, str, bytes]:
         if path == "/metrics":
             self._status.publish()
+            self._client_memory.publish()
             return 200, METRICS_TYPE, self._metrics.render()
         if path == "/healthz":
             healthy = self._status.healthy()
@@ -64,6 +66,7 @@
     application = OperatorApplication(
         kernel.find(ServiceName.STATUS, Status),
         kernel.find(ServiceName.METRICS, Metrics),
+        kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
     )
     return make_http_server(
         application,
@@ -72,4 +75,5 @@
         MAX_BODY_BYTES,
         settings.limits.max_header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
+        client_memory=kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
     )
--- a/dotterelpier/frontends/pages.py
+++ b/dotterelpier/frontends/pages.py
@@ -14,7 +14,7 @@
     status_line,
 )
 from dotterelpier.kernel import Kernel
-from dotterelpier.protocols import Metrics, ServiceName, Tasks
+from dotterelpier.protocols import ClientMemory, Metrics, ServiceName, Tasks
 from dotterelpier.protocols.fleet import EntryDirectory, Pages, PlannedStop
 
 JSON_TYPE = "application/json"
@@ -112,8 +112,10 @@
 def make_metrics_frontend(kernel: Kernel, settings: FleetSettings) -> HttpServer:
     """Return the front end for metrics, which does not listen yet."""
     metrics = kernel.find(ServiceName.METRICS, Metrics)
+    client_memory = kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory)
 
     def make_page(query: str) -> Page:
+        client_memory.publish()
         return Page(200, METRICS_TYPE, metrics.render())
 
     address = settings.entry.metrics_address
@@ -134,4 +136,5 @@
         MAX_BODY_BYTES,
         MAX_HEADER_BYTES,
         kernel.find(ServiceName.TASKS, Tasks),
+        client_memory=kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
     )
--- a/dotterelpier/frontends/peers.py
+++ b/dotterelpier/frontends/peers.py
@@ -9,6 +9,10 @@
 from attrs import define, field
 
 from dotterelpier.errors import SettingsError
+from dotterelpier.frontends.client_limits import (
+    derive_peer_connections,
+    free_descriptors,
+)
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import (
     Admission,
@@ -25,8 +29,19 @@
 
 HANDOVER_REPORT_INTERVAL_S = 0.1
 DEFAULT_HANDOVER_STREAMS = 8
+DEFAULT_CONNECTIONS = 1024
 STOP_GRACE_S = 0.5
-SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    # A connection on which no peer speaks, or that its peer does not read, is closed.
+    ("grpc.server_handshake_timeout_ms", 5000),
+    ("grpc.max_connection_idle_ms", 60_000),
+    ("grpc.keepalive_time_ms", 20_000),
+    ("grpc.keepalive_timeout_ms", 10_000),
+)
+# Requests in progress for each thread; those beyond are refused, so that requests whose
+# answers are not read do not pile up.
+REQUESTS_PER_THREAD = 8
 
 
 @define
@@ -109,6 +124,7 @@
     _address: str
     _threads: int
     _keys: TlsKeys | None = None
+    _connections: int = DEFAULT_CONNECTIONS
     _server: grpc.Server | None = None
 
     def start(self) -> None:
@@ -120,7 +136,12 @@
             If the address cannot be listened on.
         """
         executor = ThreadPoolExecutor(self._threads, thread_name_prefix="peer_frontend")
-        self._server = grpc.server(executor, options=SERVER_OPTIONS)
+        connections = ("grpc.max_allowed_incoming_connections", self._connections)
+        self._server = grpc.server(
+            executor,
+            options=(*SERVER_OPTIONS, connections),
+            maximum_concurrent_rpcs=self._threads * REQUESTS_PER_THREAD,
+        )
         peers_pb2_grpc.add_PeersServicer_to_server(self._servicer, self._server)
         try:
             self._add_port(self._server)
@@ -161,4 +182,7 @@
         threading.Semaphore(settings.limits.peer_threads // 2),
     )
     keys = read_tls_keys(settings.tls)
-    return PeerFrontend(servicer, address, settings.limits.peer_threads, keys)
+    connections = derive_peer_connections(free_descriptors(settings.limits))
+    return PeerFrontend(
+        servicer, address, settings.limits.peer_threads, keys, connections
+    )
--- a/dotterelpier/model/call.py
+++ b/dotterelpier/model/call.py
@@ -5,6 +5,7 @@
 
 from attrs import field, frozen
 
+from dotterelpier.model.client_memory import UNCOUNTED, AnswerMemory
 from dotterelpier.model.evidence import LoadReport
 
 Headers = tuple[tuple[str, str], ...]
@@ -73,6 +74,8 @@
     at_most_once : bool
         Whether the call is non-idempotent and must run at most once, by the manifest
         of this entry or of the entry that relayed the call.
+    memory : AnswerMemory
+        Memory for the answers to the call.
     """
 
     id: str
@@ -87,6 +90,7 @@
     reservation: str = ""
     at_most_once: bool = False
     peer_waiting: int = 0
+    memory: AnswerMemory = field(default=UNCOUNTED, repr=False, eq=False)
 
 
 @frozen
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from dotterelpier.model.call import Body, Headers
+from dotterelpier.model.client_memory import UNCOUNTED, AnswerMemory
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
 Unsubscribe = Callable[[], None]
@@ -39,6 +40,8 @@
     on_client_left : Callable
         Subscribes a listener that is called when the client disconnects; returns a
         function that unsubscribes it. The listener must not block.
+    memory : AnswerMemory
+        Memory for the answers to the request.
     """
 
     id: str
@@ -52,6 +55,7 @@
     on_client_left: Callable[[Callable[[], None]], Unsubscribe] = field(
         default=_ignore_listener, repr=False, eq=False
     )
+    memory: AnswerMemory = field(default=UNCOUNTED, repr=False, eq=False)
 
     @property
     def path(self) -> str:
--- a/dotterelpier/protocols/__init__.py
+++ b/dotterelpier/protocols/__init__.py
@@ -22,6 +22,7 @@
     Relays,
     Routing,
 )
+from dotterelpier.protocols.client_memory import ClientMemory, RequestMemory
 from dotterelpier.protocols.control import (
     Drain,
     Homes,
@@ -52,6 +53,7 @@
     "Calls",
     "Cancellable",
     "Claims",
+    "ClientMemory",
     "Clock",
     "Directory",
     "Drain",
@@ -67,6 +69,7 @@
     "ProbeLimiter",
     "Pulling",
     "Relays",
+    "RequestMemory",
     "Routing",
     "ServerPolicy",
     "ServiceName",
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -80,6 +80,10 @@
         """Return the future of the answer; it fails with a ``CallError``."""
         ...
 
+    def waited_for_memory(self) -> bool:
+        """Return whether the answer had to wait for memory before it was read."""
+        ...
+
     def abort(self) -> None:
         """Close the connection, so that the backend server stops the work."""
         ...
--- a/dotterelpier/services/calls.py
+++ b/dotterelpier/services/calls.py
@@ -11,6 +11,7 @@
 
 from dotterelpier.call_budget import CallBudget
 from dotterelpier.errors import (
+    AnswerAbandonedError,
     AnswerLostError,
     AnswerMismatchError,
     AnswerTimeoutError,
@@ -59,7 +60,7 @@
     AnswerMismatchError: ExchangeResult.RESET,
     AnswerTimeoutError: ExchangeResult.TIMEOUT,
 }
-NOT_RETRIED = (OverloadedError, InvalidCallError)
+NOT_RETRIED = (OverloadedError, InvalidCallError, AnswerAbandonedError)
 
 
 @define(eq=False)
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -12,6 +12,7 @@
 )
 
 from dotterelpier.model.call import Outcome
+from dotterelpier.model.client_memory import CloseReason
 from dotterelpier.model.evidence import ExchangeResult, MeasuringKind
 from dotterelpier.protocols import Metrics
 
@@ -44,6 +45,7 @@
     "result": frozenset(result.value for result in ExchangeResult),
     "kind": frozenset(kind.value for kind in MeasuringKind),
     "status": frozenset({"success", "redirect", "client-error", "server-error"}),
+    "reason": frozenset(reason.value for reason in CloseReason),
 }
 
 
@@ -86,6 +88,11 @@
     "refusals": MetricDeclaration(
         Counter, "Requests refused as no backend server has room.", ("service",)
     ),
+    "clients_closed": MetricDeclaration(
+        Counter, "Connections of clients that were closed to make room.", ("reason",)
+    ),
+    "client_bytes": MetricDeclaration(Gauge, "Bytes that are held for clients."),
+    "client_connections": MetricDeclaration(Gauge, "Open connections of clients."),
     "probes": MetricDeclaration(
         Counter, "Probes of backend servers.", ("service", "result")
     ),
--- a/dotterelpier/settings.py
+++ b/dotterelpier/settings.py
@@ -126,6 +126,22 @@
     idle_connection_s : float
         Idle time after which a connection to a backend server or another entry is
         closed, in seconds.
+    memory_mb : float
+        Memory of the process, in MB. What it does not need itself is for the requests
+        and answers of callers; those that do not fit wait or are refused.
+    connections : int
+        Limit of open connections of callers, other entries and operators together. Near
+        it, the connection idle for longest is closed for each new one.
+    descriptors : int
+        Descriptor limit of the process; 0 stands for the one that it runs under. Three
+        quarters of what is free at the start may be connections of callers.
+    read_bytes_per_s : float
+        Slowest rate at which a caller counts as reading, in bytes per second.
+    stall_s : float
+        Time for which a caller must be slower to count as stalled, in seconds. A
+        stalled connection is closed when its memory or its thread is needed.
+    stalled_max_s : float
+        Time after which a stalled connection is closed in any case, in seconds.
     """
 
     caller_threads: int = field(default=96, validator=[ge(1), le(4096)])
@@ -138,6 +154,12 @@
     max_body_bytes: int = field(default=4 << 20, validator=[ge(0), le(64 << 20)])
     max_header_bytes: int = field(default=32 << 10, validator=[ge(1024), le(1 << 20)])
     idle_connection_s: float = field(default=30.0, validator=[gt(0), le(3600)])
+    memory_mb: float = field(default=1000.0, validator=[ge(32), le(1_000_000)])
+    connections: int = field(default=4096, validator=[ge(16), le(1_000_000)])
+    descriptors: int = field(default=0, validator=[ge(0), le(10_000_000)])
+    read_bytes_per_s: float = field(default=16_384.0, validator=[ge(0), le(1 << 30)])
+    stall_s: float = field(default=1.0, validator=[gt(0), le(600)])
+    stalled_max_s: float = field(default=45.0, validator=[gt(0), le(3600)])
 
 
 @frozen
--- a/dotterelpier/wire/problem.py
+++ b/dotterelpier/wire/problem.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from dotterelpier.errors import (
+    AnswerAbandonedError,
     AnswerLostError,
     AnswerMismatchError,
     AnswerTimeoutError,
@@ -47,6 +48,7 @@
     NoRouteError: 404,
     RouteFaultyError: 503,
     ClientLeftError: 502,
+    AnswerAbandonedError: 504,
 }
 
 
--- a/tests/test_caller_frontend.py
+++ b/tests/test_caller_frontend.py
@@ -11,6 +11,7 @@
 from dotterelpier.clients.http_connection import parse_address
 from dotterelpier.errors import AnswerLostError, RefusedError
 from dotterelpier.frontends.callers import make_caller_frontend
+from dotterelpier.frontends.client_memory import make_unlimited_client_memory
 from dotterelpier.kernel import make_kernel
 from dotterelpier.model.call import Answer, Call
 from dotterelpier.model.manifest import Manifest, Revision, Service
@@ -68,6 +69,7 @@
         ServiceName.CLOCK: make_clock(),
         ServiceName.TASKS: tasks,
         ServiceName.METRICS: make_metrics(),
+        ServiceName.CLIENT_MEMORY: make_unlimited_client_memory(),
         ServiceName.CALLS: stub,
         ServiceName.MANIFEST: stub,
         ServiceName.DIRECTORY: None,
--- a/tests/test_hostile_http.py
+++ b/tests/test_hostile_http.py
@@ -12,6 +12,7 @@
 from dotterelpier.clients.http_connection import parse_address
 from dotterelpier.frontends import http_server
 from dotterelpier.frontends.callers import make_caller_frontend
+from dotterelpier.frontends.client_memory import make_unlimited_client_memory
 from dotterelpier.kernel import make_kernel
 from dotterelpier.model.call import Answer, Call
 from dotterelpier.model.manifest import Manifest, NonIdempotentRule, Revision
@@ -77,6 +78,7 @@
         kernel.register(ServiceName.CLOCK, make_clock())
         kernel.register(ServiceName.TASKS, tasks)
         kernel.register(ServiceName.METRICS, make_metrics())
+        kernel.register(ServiceName.CLIENT_MEMORY, make_unlimited_client_memory())
         kernel.register(ServiceName.CALLS, recorded)
         kernel.register(ServiceName.MANIFEST, FixedManifest(_manifest()))
         kernel.register(ServiceName.DIRECTORY, None)
