Merge limits for clients that send slowly or do not read

Requests that are started before their turn have memory of their own from their start, and the early workers count as the threads of the address.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from dotterelpier.errors import (
+    AnswerAbandonedError,
     AnswerLostError,
     AnswerTimeoutError,
     CallError,
@@ -99,6 +100,7 @@
         """
         state = self._begin(request)
         unsubscribe = request.on_client_left(lambda: state.inbox.put(ClientLeft()))
+        reply: Reply | None = None
         try:
             reply = self._run_attempts(state)
         except CallError as error:
@@ -107,6 +109,7 @@
         finally:
             unsubscribe()
             self._abort_pending(state)
+            _close_unused(state, reply)
         self._log_end(state, "answered", None, reply.status)
         return reply
 
@@ -274,7 +277,7 @@
             choice.tracked.note_not_sent()
             raise self._overloaded(state, error.message, instance.id) from None
         choice.tracked.note_sent(state.route)
-        attempt = Attempt(choice, exchange, self._clock.monotonic(), _no_op, hedge)
+        attempt = Attempt(choice, exchange, self._clock.monotonic(), hedge=hedge)
         if state.route.idempotent:
             attempt.unwatch = self._conditions.watch_slowdown(
                 instance.id, lambda: state.inbox.put(SlowedDown(attempt))
@@ -293,9 +296,12 @@
         if attempt not in state.pending:
             return None
         state.pending.remove(attempt)
-        attempt.unwatch()
+        attempt.stop_watching()
         try:
             answer = attempt.exchange.answer.result()
+        except AnswerAbandonedError:
+            self._conditions.note_ended(attempt.peer, None)
+            raise
         except CallError as error:
             self._handle_error(state, attempt, error)
             return None
@@ -308,12 +314,14 @@
         duration_s = self._clock.monotonic() - attempt.sent_at
         attempt.choice.tracked.note_answer(state.route, answer, duration_s)
         if not failed:
-            self._conditions.note_answer(state.route, attempt.choice, duration_s)
+            if not attempt.exchange.waited_for_memory():
+                self._conditions.note_answer(state.route, attempt.choice, duration_s)
             if attempt.hedge:
                 state.hedging.note_won(state.service)
-            else:
+            elif not attempt.exchange.waited_for_memory():
                 state.hedging.note_attempt(state.route, duration_s, ended=True)
             return _reply(state, answer)
+        _close_unused(state, None)
         state.failure = answer
         state.error = AnswerLostError(
             f"answered with status {answer.status}", step=STEP, peer=attempt.peer
@@ -415,6 +423,9 @@
             return
         if not self._may_send_again(state):
             return
+        if slow.exchange.waited_for_memory():
+            # Its backend server has answered; a second answer needs memory as well.
+            return
         candidate = HedgeCandidate(
             state.service,
             state.route,
@@ -470,10 +481,11 @@
     def _abort_pending(self, state: RequestState) -> None:
         """Abort the pending attempts; one that exceeds the objective is a failure."""
         for attempt in state.pending:
-            attempt.unwatch()
+            attempt.stop_watching()
             attempt.exchange.abort()
             duration_s = self._clock.monotonic() - attempt.sent_at
-            overdue = duration_s > state.route.target_s
+            waited = attempt.exchange.waited_for_memory()
+            overdue = duration_s > state.route.target_s and not waited
             attempt.choice.tracked.note_aborted(state.route, duration_s)
             self._conditions.note_ended(attempt.peer, False if overdue else None)
             if not attempt.hedge:
@@ -543,8 +555,11 @@
     )
 
 
-def _no_op() -> None:
-    return None
+def _close_unused(state: RequestState, reply: Reply | None) -> None:
+    """Close the stream of the last server error unless it is the reply."""
+    stream = None if state.failure is None else state.failure.stream
+    if stream is not None and (reply is None or reply.stream is not stream):
+        stream.close()
 
 
 def make_forwarding(kernel: Kernel) -> Forwarding:
--- a/dotterelpier/fleet/request_state.py
+++ b/dotterelpier/fleet/request_state.py
@@ -46,7 +46,7 @@
     sent_at : float
         When it was sent, on the monotonic clock.
     unwatch : Callable
-        Unsubscribes the request from slowdowns of the backend server.
+        Unsubscribes the request from slowdowns of the backend server, if subscribed.
     hedge : bool
         Whether it was sent while another attempt was pending.
     """
@@ -54,7 +54,7 @@
     choice: Choice
     exchange: InstanceExchange
     sent_at: float
-    unwatch: Callable[[], None]
+    unwatch: Callable[[], None] | None = None
     hedge: bool = False
 
     @property
@@ -62,6 +62,16 @@
         """Return the id of the backend server."""
         return self.choice.instance.id
 
+    def stop_watching(self) -> None:
+        """Unsubscribe from slowdowns.
+
+        The subscription refers to this attempt. If it were kept, the answer would stay
+        in memory until the garbage collector finds the cycle.
+        """
+        unwatch, self.unwatch = self.unwatch, None
+        if unwatch is not None:
+            unwatch()
+
 
 @define(eq=False)
 class RequestState:
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -1,5 +1,6 @@
 """HTTP front end for clients whose requests are routed by host and path."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from attrs import define
@@ -16,8 +17,10 @@
 from dotterelpier.fleet_settings import FleetSettings
 from dotterelpier.frontends.body_budget import BodyBudget
 from dotterelpier.frontends.early_requests import HELD_REPLY, make_early_serving
+from dotterelpier.frontends.early_workers import make_shared_workers
 from dotterelpier.frontends.http_server import (
     ARRIVED_AT,
+    MEMORY,
     ON_CLIENT_LEFT,
     Environ,
     HttpServer,
@@ -28,7 +31,7 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.request import Reply, Request
 from dotterelpier.model.route import ClientLimits
-from dotterelpier.protocols import Clock, Metrics, ServiceName, Tasks
+from dotterelpier.protocols import ClientMemory, Clock, Metrics, ServiceName, Tasks
 from dotterelpier.protocols.fleet import Forwarding, HeaderCodec, Routes
 from dotterelpier.wire.backend import (
     NOT_FORWARDED,
@@ -54,6 +57,8 @@
 # Share of the memory of the VM for replies to requests that were served early. At
 # 200 MB, nine such requests are in progress at a time.
 EARLY_MEMORY_SHARE = 0.1
+# For a request without a timeout of its own; its route may set a shorter one.
+DEFAULT_TIMEOUT_S = 30.0
 STATUS_UNAVAILABLE = 503
 # An answer with status 401 must state a scheme (RFC 9110, section 15.5.2).
 CHALLENGE = "ApiKey"
@@ -82,18 +87,23 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request in a worker thread, or send the reply if it was served."""
-        reply = environ.get(HELD_REPLY)
-        if reply is None:
-            reply = self._answer(environ)
-        elif reply.stream is not None and self._clock.monotonic() > reply.deadline_at:
-            # What is left of the stream is cut short.
-            reply.stream.close()
-            error = AnswerTimeoutError(
-                "the turn of the answer came after its deadline", step=HELD_STEP
-            )
-            reply = self._problem_reply(environ, error)
+        held = environ.get(HELD_REPLY)
+        reply = self._answer(environ) if held is None else self._in_turn(environ, held)
         return _encode(environ, reply, start_response)
 
+    def _in_turn(self, environ: Environ, held: Reply) -> Reply:
+        """Return what to send for a request that was served before its turn."""
+        if held.deadline_at < math.inf:
+            environ[MEMORY].set_deadline(held.deadline_at)
+        if held.stream is None or self._clock.monotonic() <= held.deadline_at:
+            return held
+        # What is left of the stream is cut short.
+        held.stream.close()
+        error = AnswerTimeoutError(
+            "the turn of the answer came after its deadline", step=HELD_STEP
+        )
+        return self._problem_reply(environ, error)
+
     def may_start_early(self, host: str, target: str) -> bool:
         """Return whether a request without a body is idempotent."""
         path = target.partition("?")[0]
@@ -108,6 +118,8 @@
         """Serve a request; answer errors with problem details."""
         try:
             request = self._decode(environ)
+            timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
+            environ[MEMORY].set_deadline(request.arrived_at + timeout_s)
             reply = self._forwarding.serve(request)
         except DotterelpierError as error:
             reply = self._problem_reply(environ, error)
@@ -143,7 +155,8 @@
             environ[ARRIVED_AT],
             self._codec.client_timeout_s(environ),
             environ[ON_CLIENT_LEFT],
-            self._codec.credential(environ),
+            credential=self._codec.credential(environ),
+            memory=environ[MEMORY],
         )
 
     def _problem_reply(self, environ: Environ, error: DotterelpierError) -> Reply:
@@ -195,6 +208,7 @@
         raise
     if reply.stream is not None:
         return reply.stream
+    environ[MEMORY].hand_over()
     return [] if environ["REQUEST_METHOD"] == "HEAD" else [reply.body]
 
 
@@ -249,9 +263,12 @@
     )
     limits = ClientLimits()
     memory_bytes = settings.limits.memory_mb * 1e6
+    workers = make_shared_workers(
+        THREADS, settings.entry.caller_address, refuses_when_full=True
+    )
     early_serving = make_early_serving(
         application,
-        THREADS,
+        workers,
         settings.limits.pipelined_requests,
         BodyBudget(int(memory_bytes * EARLY_MEMORY_SHARE)),
     )
@@ -262,6 +279,8 @@
         limits.body_bytes,
         limits.header_bytes,
         kernel.find(ServiceName.TASKS, Tasks),
+        client_memory=kernel.find(ServiceName.CLIENT_MEMORY, ClientMemory),
+        refuses_when_full=True,
         detects_disconnect=True,
         body_memory_bytes=int(memory_bytes * BODY_MEMORY_SHARE),
         early_serving=early_serving if settings.limits.pipelined_requests > 1 else None,
--- a/dotterelpier/frontends/early_requests.py
+++ b/dotterelpier/frontends/early_requests.py
@@ -5,8 +5,9 @@
 
 from attrs import define
 
-from dotterelpier.frontends.early_workers import SharedWorkers, make_shared_workers
+from dotterelpier.frontends.early_workers import SharedWorkers
 from dotterelpier.model.request import Reply
+from dotterelpier.protocols import RequestMemory
 
 # Key of the WSGI environment under which an application finds the reply to a request
 # that was served early.
@@ -68,6 +69,8 @@
         Whether its reply is being sent.
     abandoned : bool
         Whether its connection closes before its answer.
+    memory : RequestMemory or None
+        Memory for its answer, None before it is started.
     """
 
     request: Any
@@ -79,6 +82,7 @@
     in_turn: bool = False
     taken: bool = False
     abandoned: bool = False
+    memory: RequestMemory | None = None
 
     @property
     def may_break(self) -> bool:
@@ -138,7 +142,10 @@
 
 
 def make_early_serving(
-    application: EarlyApplication, threads: int, limit: int, budget: ByteBudget
+    application: EarlyApplication,
+    workers: SharedWorkers,
+    limit: int,
+    budget: ByteBudget,
 ) -> EarlyServing:
-    """Return what the connections of a server with ``threads`` workers share."""
-    return EarlyServing(application, make_shared_workers(threads), limit, budget)
+    """Return what the connections of a server with these workers share."""
+    return EarlyServing(application, workers, limit, budget)
--- a/dotterelpier/frontends/early_workers.py
+++ b/dotterelpier/frontends/early_workers.py
@@ -40,6 +40,25 @@
     _early: int = 0
     _lock: threading.Lock = field(factory=threading.Lock)
 
+    @property
+    def name(self) -> str:
+        """Name of the address that the server listens on."""
+        return self._dispatcher.name
+
+    @property
+    def threads(self) -> int:
+        """Largest number of threads."""
+        return self._dispatcher.threads
+
+    @property
+    def refuses_when_full(self) -> bool:
+        """Whether requests are refused while clients hold too much memory."""
+        return self._dispatcher.refuses_when_full
+
+    def queued(self) -> int:
+        """Return how many connections wait for a thread."""
+        return self._dispatcher.queued()
+
     def add_task(self, task: WorkerTask) -> None:
         """Queue a connection whose next request is complete."""
         with self._lock:
@@ -93,7 +112,10 @@
         self._task.cancel()
 
 
-def make_shared_workers(threads: int) -> SharedWorkers:
+def make_shared_workers(
+    threads: int, name: str = "", *, refuses_when_full: bool = False
+) -> SharedWorkers:
     """Return a dispatcher with at most ``threads`` worker threads, none started."""
     early_limit = int(threads * EARLY_SHARE)
-    return SharedWorkers(make_dispatcher(threads), early_limit, threads - early_limit)
+    dispatcher = make_dispatcher(threads, name, refuses_when_full=refuses_when_full)
+    return SharedWorkers(dispatcher, early_limit, threads - early_limit)
--- a/dotterelpier/frontends/pipelining.py
+++ b/dotterelpier/frontends/pipelining.py
@@ -13,10 +13,11 @@
 from waitress.channel import ClientDisconnected
 from waitress.task import WSGITask
 
+from dotterelpier.frontends.accounted_channel import AccountedChannel
 from dotterelpier.frontends.early_requests import EarlyRequest, EarlyServing
 from dotterelpier.frontends.pipeline_order import QueuedRequest, startable
-from dotterelpier.frontends.strict_http import StrictChannel
 from dotterelpier.model.request import Reply
+from dotterelpier.protocols import RequestMemory
 
 # Heads of requests that wait on one connection; above it, reading stops. As much could
 # wait when only one request was read ahead.
@@ -62,7 +63,7 @@
             self._writes_head = False
 
 
-class PipelinedChannel(StrictChannel):
+class PipelinedChannel(AccountedChannel):
     """Connection that serves idempotent requests before the answers ahead are sent.
 
     Does what waitress does if the server has no ``early_serving``.
@@ -142,6 +143,14 @@
         super().handle_close()
         self._abandon()
 
+    def request_memory(self, request: Any) -> RequestMemory:
+        """Return the memory of a request, which an early one has since its start."""
+        with self._early_lock:
+            early = self._early_by_request.get(request)
+            if early is not None and early.memory is not None:
+                return early.memory
+        return self.account.begin_request()
+
     def held_reply(self, request: Any) -> Reply | None:
         """Return the reply to send if a request was served early, else None.
 
@@ -255,6 +264,7 @@
     def _run(self, serving: EarlyServing, early: EarlyRequest) -> None:
         try:
             task: Any = self.task_class(self, early.request)
+            task.memory = early.memory = self.account.begin_request()
             early.reply = serving.application.answer_early(task.get_environment())
         except Exception as error:
             early.error = error
@@ -281,6 +291,8 @@
             serving.release(early)
         if early.reply is not None and early.reply.stream is not None:
             early.reply.stream.close()
+        if early.memory is not None:
+            early.memory.close()
 
 
 def _discard_unread(connection: Any) -> None:
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -7,6 +7,7 @@
 
 from dotterelpier.model.account import Account
 from dotterelpier.model.call import Body, Headers
+from dotterelpier.model.client_memory import UNCOUNTED, AnswerMemory
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
 Unsubscribe = Callable[[], None]
@@ -47,6 +48,8 @@
     account : Account or None
         Its account, ``ANONYMOUS`` without a valid key. None if the configuration has no
         accounts; its headers are then forwarded as they are.
+    memory : AnswerMemory
+        Memory for the answers to the request.
     """
 
     id: str
@@ -62,6 +65,7 @@
     )
     credential: str = field(default="", repr=False)
     account: Account | None = None
+    memory: AnswerMemory = field(default=UNCOUNTED, repr=False, eq=False)
 
     @property
     def path(self) -> str:
--- a/dotterelpier/wire/problem.py
+++ b/dotterelpier/wire/problem.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from dotterelpier.errors import (
+    AnswerAbandonedError,
     AnswerLostError,
     AnswerMismatchError,
     AnswerTimeoutError,
@@ -51,6 +52,7 @@
     ConfigurationStaleError: 503,
     RouteFaultyError: 503,
     ClientLeftError: 502,
+    AnswerAbandonedError: 504,
 }
 
 
