--- a/dotterelpier/frontends/client_limits.py
+++ b/dotterelpier/frontends/client_limits.py
@@ -4,7 +4,8 @@
 import resource
 
 from dotterelpier.fleet_settings import FleetLimitSettings
-from dotterelpier.frontends.client_memory import CONNECTION_BYTES, make_client_memory
+from dotterelpier.frontends.client_accounts import CONNECTION_BYTES
+from dotterelpier.frontends.client_memory import make_client_memory
 from dotterelpier.frontends.client_policy import ClientResources
 from dotterelpier.kernel import Kernel
 from dotterelpier.protocols import ClientMemory, Clock, Metrics, ServiceName, Timer
--- a/dotterelpier/frontends/client_policy.py
+++ b/dotterelpier/frontends/client_policy.py
@@ -19,6 +19,9 @@
 LONG_ANSWERS_WAIT_SHARE = 0.5
 SLOWEST_CLOSED_SHARE = 0.7
 REQUESTS_REFUSED_SHARE = 0.85
+# Clients that hold less than this share of the memory are not closed for it, as that
+# would not help.
+MIN_FREED_SHARE = 1 / 8000
 # Share of the threads of an address that may wait for clients or for memory.
 WAITING_THREADS_SHARE = 0.5
 
@@ -304,6 +307,8 @@
         for state in by_rate:
             if state in chosen or state.rate() == math.inf:
                 continue
+            if state.held_bytes < limit * MIN_FREED_SHARE:
+                continue
             too_full = held >= limit * SLOWEST_CLOSED_SHARE
             pressed = wanted >= limit * SLOWEST_CLOSED_SHARE
             short = load.wanted_bytes and wanted >= limit * LONG_ANSWERS_WAIT_SHARE
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -44,8 +44,8 @@
 STEP = "clients.decode"
 # Concurrency limit: each request occupies a thread until its backend server answers.
 THREADS = 64
-# Share of the memory of the VM for bodies of requests. Each is held up to three times:
-# received, forwarded and written.
+# Share of the memory of the VM for bodies of requests, so that they leave room for
+# answers.
 BODY_MEMORY_SHARE = 0.2
 # For a request without a timeout of its own; its route may set a shorter one.
 DEFAULT_TIMEOUT_S = 30.0
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,6 +2,7 @@
 
 import http.client
 import socket
+import time
 
 import pytest
 
@@ -17,25 +18,36 @@
 REQUEST_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\n"
 
 
+LARGE_BODY = b"0123456789abcdef" * (1 << 20)
+IDLE_TIMEOUT_S = 0.3
+
+
 def application(environ, start_response):
     body = environ["wsgi.input"].read()
+    if environ["PATH_INFO"] == "/large":
+        body = LARGE_BODY
     start_response("200 OK", [("Content-Length", str(len(body)))])
     return [body]
 
 
 @pytest.fixture
-def connect():
-    address, tasks = free_address(), make_tasks(LimitSettings())
-    server = make_http_server(application, address, 2, 1 << 20, 16384, tasks)
+def server():
+    tasks = make_tasks(LimitSettings())
+    server = make_http_server(application, free_address(), 2, 1 << 20, 16384, tasks)
     server.start()
+    yield server
+    server.stop()
+    tasks.stop()
+
+
+@pytest.fixture
+def connect(server):
     limits = ClientLimits(
         header_bytes=200, body_bytes=10, header_timeout_s=0.4, idle_timeout_s=600.0
     )
     server.set_limits(limits)
-    parsed = parse_address(address)
-    yield lambda: socket.create_connection((parsed.host, parsed.port), TIMEOUT_S)
-    server.stop()
-    tasks.stop()
+    parsed = parse_address(server._address)
+    return lambda: socket.create_connection((parsed.host, parsed.port), TIMEOUT_S)
 
 
 def status_of(connection: socket.socket, request: bytes) -> int:
@@ -67,3 +79,16 @@
         assert slow.recv(4096) == b""
         # The header timeout does not close an idle connection.
         assert status_of(idle, REQUEST_HEAD + b"Content-Length: 1\r\n\r\nx") == 200
+
+
+def test_client_that_pauses_within_an_answer_gets_the_rest(connect, server) -> None:
+    """The idle timeout closed the connection once the client went on reading."""
+    server.set_limits(ClientLimits(idle_timeout_s=IDLE_TIMEOUT_S))
+    with connect() as connection:
+        connection.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+        response = http.client.HTTPResponse(connection)
+        response.begin()
+        time.sleep(5 * IDLE_TIMEOUT_S)
+        assert response.read() == LARGE_BODY
+        response.close()
+        assert connection.recv(1) == b""
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -10,9 +10,9 @@
 
 from dotterelpier.errors import AnswerAbandonedError
 from dotterelpier.fleet_settings import FleetLimitSettings
+from dotterelpier.frontends.client_accounts import CONNECTION_BYTES
 from dotterelpier.frontends.client_limits import derive_resources
 from dotterelpier.frontends.client_memory import (
-    CONNECTION_BYTES,
     CountedClientMemory,
     make_client_memory,
 )
--- a/tests/test_client_policy.py
+++ b/tests/test_client_policy.py
@@ -152,6 +152,12 @@
     assert not client.state.is_stalled(2.0, RESOURCES)
 
 
+def test_client_that_holds_next_to_nothing_is_not_closed_for_its_memory() -> None:
+    unclosable = ClientState(POOL, 0.0, held_bytes=900)
+    clients = [Client(unclosable, lambda now: 0), reader(1e6, held=0)]
+    assert Simulation(clients).run(2).closed == {}
+
+
 @given(
     st.lists(st.tuples(st.floats(0, 1e6), st.integers(1, 400)), max_size=8),
     st.integers(0, 2000),
