--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -50,8 +50,8 @@
 HELD_STEP = "clients.turn"
 # Concurrency limit: each request occupies a thread until its backend server answers.
 THREADS = 64
-# Share of the memory of the VM for bodies of requests. Each is held up to three times:
-# received, forwarded and written.
+# Share of the memory of the VM for bodies of requests, so that they leave room for
+# answers.
 BODY_MEMORY_SHARE = 0.2
 STATUS_UNAUTHORIZED = 401
 # Share of the memory of the VM for replies to requests that were served early. At
