--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,14 +8,23 @@
 from attrs import define, field
 
 from dotterelpier.clients.http_connection import is_readable, open_connection
+from soak.accounts import CAPPED, CREDENTIAL_HEADER, MEMBERS, UsedKey
 from soak.record import Record, SentRequest
-from tests.fleet_processes import EntryProcess
+from soak.system import SoakSystem
 from tests.fleet_system import ATTEMPT_ID_HEADER, HOST, SIGNATURE_HEADER
 from tests.utils import request
 
 PAUSE_S = 0.03
 TIMEOUT_S = 4.0
 DIRECTORY_REFRESH_CALLS = 40
+# Shares of the requests with a key that no configuration has, and with one that was
+# withdrawn several versions ago.
+UNKNOWN_KEY_SHARE = 0.03
+OLD_KEY_SHARE = 0.05
+OLD_KEY_VERSIONS = 4
+# Callers of the account with a usage cap; they ask for several times what it allows.
+CAPPED_CALLERS = 4
+ROLLED_SHARE = 0.3
 
 
 @define(eq=False)
@@ -23,7 +32,7 @@
     """One caller in a thread of its own; it reuses a connection until that fails."""
 
     number: int
-    entries: list[EntryProcess]
+    system: SoakSystem
     record: Record
     random: random.Random
     _addresses: list[str] = field(factory=list)
@@ -40,7 +49,7 @@
                 self._send(f"c{self.number}-{call_number}", self.random.random() < 0.5)
 
     def _query_directory(self) -> list[str]:
-        entry = self.random.choice(self.entries)
+        entry = self.random.choice(self.system.entries.entries)
         target = f"/resolve?name={HOST}&region=r&zone={entry.zone}"
         try:
             page = request(
@@ -54,13 +63,17 @@
     def _send(self, request_id: str, idempotent: bool) -> None:
         address = self.random.choice(self._addresses)
         sent_at = self.record.now()
-        prefix = "/safe/x" if idempotent else "/once/x"
+        key = self._key()
+        rolled = idempotent and self.random.random() < ROLLED_SHARE
+        safe_path = "/rolled/x" if rolled else "/safe/x"
+        prefix = safe_path if idempotent else "/once/x"
         headers = {
             "Host": HOST,
             ATTEMPT_ID_HEADER: request_id,
+            CREDENTIAL_HEADER: key.text,
             "X-Dotterelpier-Deadline-Ms": "2500",
         }
-        sent = SentRequest(request_id, idempotent, sent_at)
+        sent = SentRequest(request_id, idempotent, sent_at, key=key)
         try:
             connection = self._connection(address)
             connection.request("GET" if idempotent else "POST", prefix, None, headers)
@@ -68,7 +81,7 @@
             body = response.read()
             signed = response.headers.get(SIGNATURE_HEADER) is not None
             sent = SentRequest(
-                request_id, idempotent, sent_at, response.status, body, signed
+                request_id, idempotent, sent_at, response.status, body, signed, key
             )
         except (OSError, http.client.HTTPException):
             # Without a response nothing is promised; the record keeps status 0.
@@ -76,6 +89,16 @@
             self._addresses = [item for item in self._addresses if item != address]
         self.record.add_request(sent)
 
+    def _key(self) -> UsedKey:
+        draw = self.random.random()
+        if draw < UNKNOWN_KEY_SHARE:
+            return UsedKey("")
+        account = CAPPED if self.number < CAPPED_CALLERS else MEMBERS
+        valid = self.system.valid_key(account)
+        if draw < UNKNOWN_KEY_SHARE + OLD_KEY_SHARE:
+            return UsedKey(account, valid.version - OLD_KEY_VERSIONS)
+        return valid
+
     def _connection(self, address: str) -> http.client.HTTPConnection:
         connection = self._connection_by_address.get(address)
         if connection is None or is_readable(connection.sock):
--- a/soak/record.py
+++ b/soak/record.py
@@ -6,6 +6,14 @@
 
 from attrs import define, field, frozen
 
+from soak.accounts import (
+    CAPPED,
+    KeyHistory,
+    UsedKey,
+    exceeded_window,
+    times_by_account,
+)
+
 # With these statuses an entry promises that the request hasn't run and never will.
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 # The most attempts for a request that the routes of the soak allow.
@@ -31,16 +39,18 @@
     status: int = 0
     body: bytes = field(default=b"", repr=False)
     signed: bool = False
+    key: UsedKey | None = None
 
 
 @frozen
 class Execution:
-    """One run of a request at a backend server."""
+    """One run of a request at a backend server, with the account that it was told."""
 
     id: str
     instance: str
     zone: str
     at: float
+    account: str = ""
 
 
 @frozen
@@ -109,8 +119,13 @@
             for fault_began_at, fault_ended_at in self.fault_intervals
         )
 
-    def check(self, *, timed: bool) -> tuple[BrokenPromise, ...]:
-        """Return all broken promises; those with a time bound only if ``timed``."""
+    def check(
+        self, *, timed: bool, keys: KeyHistory | None = None
+    ) -> tuple[BrokenPromise, ...]:
+        """Return all broken promises; those with a time bound only if ``timed``.
+
+        With ``keys`` the promises on accounts are checked as well.
+        """
         runs_by_id: dict[str, list[Execution]] = defaultdict(list)
         for run in self.runs:
             runs_by_id[run.id].append(run)
@@ -123,8 +138,30 @@
                 found.append(BrokenPromise("run without request", run.at, run.id))
             if timed:
                 found.extend(self._check_time_bounds(run))
+        if keys is not None:
+            found.extend(self._check_accounts(runs_by_id, keys, timed=timed))
         return tuple(found)
 
+    def _check_accounts(
+        self, runs_by_id: dict[str, list[Execution]], keys: KeyHistory, *, timed: bool
+    ) -> list[BrokenPromise]:
+        found = []
+        for item in self.sent:
+            if item.key is None:
+                continue
+            withdrawn_at = keys.withdrawn_at(item.key)
+            for run in runs_by_id[item.id]:
+                detail = f"{item.id} ran as {run.account!r} with key {item.key.text}"
+                if run.account != item.key.account:
+                    found.append(BrokenPromise("account of a key", run.at, detail))
+                late = run.at > withdrawn_at + CONFIGURATION_S
+                if timed and late and self.is_fault_free(withdrawn_at, run.at):
+                    found.append(BrokenPromise("withdrawn key", run.at, detail))
+        window = exceeded_window(times_by_account(self.runs).get(CAPPED, ()))
+        if window is not None:
+            found.append(BrokenPromise("usage cap", window[0], f"{window[1]} runs"))
+        return found
+
     def _check_time_bounds(self, run: Execution) -> list[BrokenPromise]:
         found = []
         drain_began_at = self.drain_began_at_by_instance.get(run.instance, float("inf"))
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,9 @@
 from soak.callers import Caller
 from soak.configuration import ConfigurationProbe
 from soak.faults import PLANNED, Faults
+from soak.pipelines import PipeliningCaller, SlowReaders
 from soak.record import BrokenPromise, Record
+from soak.rollouts import RolloutProbe
 from soak.system import SoakSystem
 
 CALLERS = 16
@@ -99,7 +101,7 @@
         finally:
             system.stop()
         answered = sum(item.status == 200 for item in record.sent)
-        broken = record.check(timed=self.timed)
+        broken = record.check(timed=self.timed, keys=system.keys)
         return Verdict(
             self.seed, broken, len(record.sent), answered, faults, str(self.folder)
         )
@@ -108,10 +110,16 @@
         stopping = threading.Event()
         probe = ConfigurationProbe(system, record, self.timed)
         callers = [
-            Caller(number, system.entries.entries, record, random.Random(number))
+            Caller(number, system, record, random.Random(number))
             for number in range(CALLERS)
         ]
-        tasks = [caller.run for caller in callers] + [probe.run]
+        others = [
+            probe,
+            PipeliningCaller(system, record, random.Random(CALLERS)),
+            SlowReaders(system, record, random.Random(CALLERS + 1)),
+            RolloutProbe(system, record),
+        ]
+        tasks = [item.run for item in (*callers, *others)]
         with ThreadPoolExecutor(len(tasks)) as executor:
             pending = [executor.submit(task, stopping) for task in tasks]
             try:
