Usage caps over all entries

The home of an account, chosen by rendezvous hashing, holds its token bucket; other entries ask it for grants by datagram, and go on within an allowance where it does not answer.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 		--grpc_python_out=. dotterelpier/wire/peers.proto
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
 		dotterelpier/wire/fleet.proto
+	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+		dotterelpier/wire/grants.proto
 
 soak: setup
 	$(PYTHON) -m soak
--- a/dotterelpier/errors.py
+++ b/dotterelpier/errors.py
@@ -165,6 +165,17 @@
     code = "unknown_key"
 
 
+class OverCapError(CallError):
+    """The account of the request has used up its cap.
+
+    ``retry_after_s`` is the time after which a retry is expected to find room, in
+    seconds.
+    """
+
+    code = "over_cap"
+    retry_after_s: float = 0.0
+
+
 class ConfigurationStaleError(CallError):
     """The configuration may be outdated, so keys that it knows may be withdrawn."""
 
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -5,7 +5,7 @@
 
 from queue import Empty
 
-from attrs import define, evolve, field
+from attrs import define, field
 from loguru import logger
 
 from dotterelpier.errors import (
@@ -13,7 +13,6 @@
     AnswerTimeoutError,
     CallError,
     ClientLeftError,
-    ConfigurationStaleError,
     ConnectFailedError,
     NoManifestError,
     NoRouteError,
@@ -21,8 +20,8 @@
     RefusedError,
     RouteFaultyError,
     TaskPoolFullError,
-    UnknownKeyError,
 )
+from dotterelpier.fleet.account_gate import AccountGate, make_account_gate
 from dotterelpier.fleet.request_state import (
     Answered,
     Attempt,
@@ -38,7 +37,6 @@
 from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
-    Accounts,
     Conditions,
     DrainWindow,
     Forwarding,
@@ -70,10 +68,10 @@
 
     _clock: Clock
     _metrics: Metrics
-    _accounts: Accounts
     _conditions: Conditions
     _instances: Instances
     _budget: RetryBudget
+    _gate: AccountGate
     _waiting_room: WaitingRoom
     _drain_window: DrainWindow
     _split: WeightedSplit = field(factory=WeightedSplit)
@@ -94,6 +92,8 @@
         try:
             reply = self._run_attempts(state)
         except CallError as error:
+            if not state.tried:
+                self._gate.give_back(state)
             self._log_end(state, error.code, error)
             raise
         finally:
@@ -104,7 +104,7 @@
 
     def _begin(self, request: Request) -> RequestState:
         timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
-        table = self._accounts.table(request.arrived_at + timeout_s)
+        table = self._gate.table(request.arrived_at + timeout_s)
         if table is None:
             raise NoManifestError("no configuration is known yet", step=STEP)
         route = table.match(request.host, request.path)
@@ -113,7 +113,7 @@
                 f"no route for {request.host!r} in configuration {table.version}",
                 step=STEP,
             )
-        account = self._accounts.identify(table, route, request.credential)
+        request = self._gate.identify(table, route, request)
         if not route.shares:
             message = f"route {route.name!r} is not understood"
             raise RouteFaultyError(message, step=STEP)
@@ -121,32 +121,11 @@
             timeout_s = min(timeout_s, route.timeout_s)
         deadline_at = request.arrived_at + timeout_s
         self._drain_window.check(request.arrived_at, deadline_at)
+        self._gate.admit(request, table, deadline_at)
         service = self._split.choose(route)
         self._budget.note_request(service)
-        if account is not None:
-            request = evolve(request, account=account)
         return RequestState(request, route, table, service, deadline_at)
 
-    def _identify_again(self, state: RequestState) -> None:
-        """Identify the account again if the configuration changed since.
-
-        A request whose key was withdrawn while it waited must not be sent.
-
-        Raises
-        ------
-        UnknownKeyError, ConfigurationStaleError
-            If its key is not accepted any more.
-        """
-        table = self._accounts.table(state.deadline_at)
-        if table is None or table is state.table:
-            return
-        credential = state.request.credential
-        account = self._accounts.identify(table, state.route, credential)
-        state.table = table
-        # Without accounts the headers would be forwarded as they are, with the key.
-        if account is not None:
-            state.request = evolve(state.request, account=account)
-
     def _run_attempts(self, state: RequestState) -> Reply:
         self._send_first(state)
         while state.pending:
@@ -220,7 +199,7 @@
         raise self._waiting_room.refusal(ticket, reason, closed_until)
 
     def _send_in_turn(self, state: RequestState, ticket: Ticket) -> bool:
-        self._identify_again(state)
+        self._gate.check_again(state)
         if self._clock.monotonic() >= ticket.wait_until:
             # A late answer is better than none.
             return self._send(state)
@@ -340,16 +319,14 @@
             return False
         if self._clock.monotonic() + MIN_ATTEMPT_S > state.deadline_at:
             return False
-        try:
-            self._identify_again(state)
-        except (UnknownKeyError, ConfigurationStaleError):
+        if not self._gate.may_send_again(state):
             return False
         if not self._budget.try_withdraw(state.service):
             self._metrics.count("retries_denied", service=state.service)
             return False
         sent = False
         try:
-            sent = self._send(state, due_at)
+            sent = self._gate.charge_again(state) and self._send(state, due_at)
         finally:
             if not sent:
                 self._budget.refund(state.service)
@@ -471,10 +448,10 @@
     return DirectForwarding(
         kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.METRICS, Metrics),
-        kernel.find(ServiceName.ACCOUNTS, Accounts),
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
+        make_account_gate(kernel),
         kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
         kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
     )
--- a/dotterelpier/fleet/members.py
+++ b/dotterelpier/fleet/members.py
@@ -43,6 +43,7 @@
     _tasks: Tasks
     _make_follower: Callable[..., TableFollower]
     _follower: TableFollower | None = None
+    _loaded: bool = False
     _member_by_name: dict[str, FleetMember] = field(factory=dict)
     # Sorted by name; None after a change.
     _members: tuple[FleetMember, ...] | None = None
@@ -87,6 +88,10 @@
                 self._members = tuple(member_by_name[name] for name in names)
             return self._members
 
+    def loaded(self) -> bool:
+        """Return whether the table of entries was read at least once."""
+        return self._loaded
+
     def size(self) -> int:
         """Return the largest number of entries known within ``SIZE_WINDOW_S``."""
         now = self._clock.monotonic()
@@ -134,6 +139,7 @@
 
     def apply_snapshot(self, rows: tuple[StoreRow, ...]) -> None:
         """Replace the known members by all rows of the table."""
+        self._loaded = True
         present = {row.key for row in rows}
         with self._lock:
             gone = tuple(self._member_by_name.keys() - present)
--- a/dotterelpier/fleet_entry.py
+++ b/dotterelpier/fleet_entry.py
@@ -29,6 +29,7 @@
 from dotterelpier.fleet.routes import make_routes
 from dotterelpier.fleet.store_link import make_store_link
 from dotterelpier.fleet.subsets import make_subsets
+from dotterelpier.fleet.usage_caps.service import make_usage_caps
 from dotterelpier.fleet.waiting import make_waiting_room
 from dotterelpier.fleet_settings import FleetEntrySettings, FleetSettings
 from dotterelpier.frontends.clients import make_client_frontend
@@ -113,7 +114,7 @@
     kernel.register(ServiceName.LIVE_SETTINGS, live_settings, (ServiceName.TASKS,))
     _register_foundations(kernel, settings)
     _register_fleet_state(kernel, settings)
-    _register_request_path(kernel)
+    _register_request_path(kernel, settings)
     _register_frontends(kernel, settings)
     return kernel
 
@@ -165,17 +166,21 @@
     kernel.register(ServiceName.LIVENESS, make_liveness(kernel), (ServiceName.FLEET,))
 
 
-def _register_request_path(kernel: Kernel) -> None:
+def _register_request_path(kernel: Kernel, settings: FleetSettings) -> None:
     budget = make_retry_budget(kernel)
     kernel.register(ServiceName.RETRY_BUDGET, budget, (ServiceName.FLEET,))
     kernel.register(ServiceName.WAITING_ROOM, make_waiting_room(kernel))
     kernel.register(ServiceName.DRAIN_WINDOW, make_drain_window())
     dependencies: tuple[str, ...] = (ServiceName.ROUTES,)
     kernel.register(ServiceName.ACCOUNTS, make_accounts(kernel), dependencies)
+    caps = make_usage_caps(kernel, first_start=settings.entry.first_start)
+    dependencies = (ServiceName.FLEET, ServiceName.ROUTES, ServiceName.DATAGRAMS)
+    kernel.register(ServiceName.USAGE_CAPS, caps, dependencies)
     dependencies = (
         ServiceName.CONDITIONS,
         ServiceName.RETRY_BUDGET,
         ServiceName.ACCOUNTS,
+        ServiceName.USAGE_CAPS,
     )
     kernel.register(ServiceName.FORWARDING, make_forwarding(kernel), dependencies)
     stop = make_planned_stop(kernel)
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -9,6 +9,7 @@
     DotterelpierError,
     InternalError,
     InvalidCallError,
+    OverCapError,
     OverloadedError,
     StoppingError,
 )
@@ -47,6 +48,7 @@
 # received, forwarded and written.
 BODY_MEMORY_SHARE = 0.2
 STATUS_UNAUTHORIZED = 401
+STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
 # An answer with status 401 must state a scheme (RFC 9110, section 15.5.2).
 CHALLENGE = "ApiKey"
@@ -132,7 +134,7 @@
         ]
         if status == STATUS_UNAUTHORIZED:
             headers.append(("WWW-Authenticate", CHALLENGE))
-        if status == STATUS_UNAVAILABLE:
+        if status in (STATUS_TOO_MANY_REQUESTS, STATUS_UNAVAILABLE):
             headers.append(("Retry-After", f"{_retry_after_s(error):.2f}"))
         return Reply(status, tuple(headers), problem_body(error))
 
@@ -141,7 +143,9 @@
     if isinstance(error, StoppingError):
         # Other entries take the request at once.
         return 0.0
-    stated_s = error.retry_after_s if isinstance(error, OverloadedError) else None
+    stated_s = None
+    if isinstance(error, OverloadedError | OverCapError):
+        stated_s = error.retry_after_s
     return RETRY_AFTER_S if stated_s is None else stated_s
 
 
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -13,6 +13,7 @@
     Pages,
     PlannedStop,
     RetryBudget,
+    UsageCaps,
     WaitingRoom,
 )
 from dotterelpier.protocols.fleet.state import (
@@ -63,5 +64,6 @@
     "StoreLink",
     "Stores",
     "Subsets",
+    "UsageCaps",
     "WaitingRoom",
 ]
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -191,6 +191,42 @@
         ...
 
 
+class UsageCaps(Protocol):
+    """Limits on the requests of accounts, over all entries."""
+
+    def admit(self, account: Account | None, version: int, deadline_at: float) -> None:
+        """Charge a request to its account; blocks for a moment if it has a cap.
+
+        Parameters
+        ----------
+        account : Account or None
+            Account of the request, if any.
+        version : int
+            Version of the configuration that declares the account.
+        deadline_at : float
+            Deadline of the answer, in seconds on the monotonic clock.
+
+        Raises
+        ------
+        OverCapError
+            If its cap is used up; the request must not run.
+        """
+        ...
+
+    def try_extra(
+        self, account: Account | None, version: int, deadline_at: float, *, waits: bool
+    ) -> bool:
+        """Charge a further attempt of a request; return whether it may run.
+
+        Unless ``waits``, it does not block, and only succeeds far below the cap.
+        """
+        ...
+
+    def give_back(self, account: Account | None) -> None:
+        """Return what was charged for a request that was not sent."""
+        ...
+
+
 class LiveSettings(Protocol):
     """Settings in force, which follow their file without a restart."""
 
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -67,6 +67,10 @@
         """Return the registered entries by name, with this one until it leaves."""
         ...
 
+    def loaded(self) -> bool:
+        """Return whether the table of entries was read at least once."""
+        ...
+
     def size(self) -> int:
         """Return the largest number of entries known within a recent time window."""
         ...
--- a/dotterelpier/services/metrics.py
+++ b/dotterelpier/services/metrics.py
@@ -37,9 +37,11 @@
 # Replaces every value of a label that is not allowed.
 OTHER = "other"
 
-# Allowed values of each label; service names are allowed once the manifest is known.
+# Allowed values of each label; names of services and of some accounts are allowed once
+# the configuration is known.
 VALUES_BY_LABEL: Mapping[str, frozenset[str]] = {
     "service": frozenset(),
+    "account": frozenset(),
     "outcome": frozenset(outcome.value for outcome in Outcome),
     "result": frozenset(result.value for result in ExchangeResult),
     "kind": frozenset(kind.value for kind in MeasuringKind),
@@ -86,6 +88,14 @@
     "refusals": MetricDeclaration(
         Counter, "Requests refused as no backend server has room.", ("service",)
     ),
+    "over_cap": MetricDeclaration(
+        Counter,
+        "Requests refused as the cap of their account is used up.",
+        ("account",),
+    ),
+    "cap_fallbacks": MetricDeclaration(
+        Counter, "Requests of capped accounts decided without the account's home."
+    ),
     "unknown_keys": MetricDeclaration(
         Counter, "Requests refused as their key is missing or unknown."
     ),
