--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,8 @@
 		dotterelpier/wire/fleet.proto
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
 		dotterelpier/wire/rollouts.proto
+	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. \
+		dotterelpier/wire/grants.proto
 
 soak: setup
 	$(PYTHON) -m soak
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -5,7 +5,7 @@
 
 from queue import Empty
 
-from attrs import define, evolve, field
+from attrs import define, field
 from loguru import logger
 
 from dotterelpier.errors import (
@@ -14,7 +14,6 @@
     AnswerTimeoutError,
     CallError,
     ClientLeftError,
-    ConfigurationStaleError,
     ConnectFailedError,
     NoManifestError,
     NoRouteError,
@@ -22,8 +21,8 @@
     RefusedError,
     RouteFaultyError,
     TaskPoolFullError,
-    UnknownKeyError,
 )
+from dotterelpier.fleet.account_gate import AccountGate, make_account_gate
 from dotterelpier.fleet.request_state import (
     Answered,
     Attempt,
@@ -40,7 +39,6 @@
 from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
-    Accounts,
     Conditions,
     DrainWindow,
     Forwarding,
@@ -70,10 +68,10 @@
 
     _clock: Clock
     _metrics: Metrics
-    _accounts: Accounts
     _conditions: Conditions
     _instances: Instances
     _budget: RetryBudget
+    _gate: AccountGate
     _waiting_room: WaitingRoom
     _drain_window: DrainWindow
     _rollouts: Rollouts
@@ -104,6 +102,8 @@
         try:
             reply = self._run_attempts(state)
         except CallError as error:
+            if not state.tried:
+                self._gate.give_back(state)
             self._log_end(state, error.code, error)
             raise
         finally:
@@ -115,7 +115,7 @@
 
     def _begin(self, request: Request) -> RequestState:
         timeout_s = request.timeout_s or DEFAULT_TIMEOUT_S
-        table = self._accounts.table(request.arrived_at + timeout_s)
+        table = self._gate.table(request.arrived_at + timeout_s)
         if table is None:
             raise NoManifestError("no configuration is known yet", step=STEP)
         route = table.match(request.host, request.path)
@@ -124,7 +124,7 @@
                 f"no route for {request.host!r} in configuration {table.version}",
                 step=STEP,
             )
-        account = self._accounts.identify(table, route, request.credential)
+        request = self._gate.identify(table, route, request)
         if not route.shares:
             message = f"route {route.name!r} is not understood"
             raise RouteFaultyError(message, step=STEP)
@@ -132,35 +132,14 @@
             timeout_s = min(timeout_s, route.timeout_s)
         deadline_at = request.arrived_at + timeout_s
         self._drain_window.check(request.arrived_at, deadline_at)
+        self._gate.admit(request, table, deadline_at)
         service = self._split.choose(route)
         self._budget.note_request(service)
         self._conditions.note_request(service)
         self._rollouts.note_request(service)
-        if account is not None:
-            request = evolve(request, account=account)
         policy = self._hedging.policy()
         return RequestState(request, route, table, service, deadline_at, policy)
 
-    def _identify_again(self, state: RequestState) -> None:
-        """Identify the account again if the configuration changed since.
-
-        A request whose key was withdrawn while it waited must not be sent.
-
-        Raises
-        ------
-        UnknownKeyError, ConfigurationStaleError
-            If its key is not accepted any more.
-        """
-        table = self._accounts.table(state.deadline_at)
-        if table is None or table is state.table:
-            return
-        credential = state.request.credential
-        account = self._accounts.identify(table, state.route, credential)
-        state.table = table
-        # Without accounts the headers would be forwarded as they are, with the key.
-        if account is not None:
-            state.request = evolve(state.request, account=account)
-
     def _run_attempts(self, state: RequestState) -> Reply:
         self._send_first(state)
         state.hedging.note_request(state.service)
@@ -238,7 +217,7 @@
         raise self._waiting_room.refusal(ticket, reason, closed_until)
 
     def _send_in_turn(self, state: RequestState, ticket: Ticket) -> bool:
-        self._identify_again(state)
+        self._gate.check_again(state)
         if self._clock.monotonic() >= ticket.wait_until:
             # A late answer is better than none.
             return self._send(state)
@@ -383,11 +362,7 @@
             return False
         if self._clock.monotonic() + MIN_ATTEMPT_S > state.deadline_at:
             return False
-        try:
-            self._identify_again(state)
-        except (UnknownKeyError, ConfigurationStaleError):
-            return False
-        return True
+        return self._gate.may_send_again(state)
 
     def _withdraw(self, state: RequestState) -> bool:
         withdrawn = self._budget.try_withdraw(state.service)
@@ -400,7 +375,8 @@
     ) -> bool:
         sent = False
         try:
-            sent = self._send(state, due_at, hedge=hedge)
+            charged = self._gate.charge_again(state)
+            sent = charged and self._send(state, due_at, hedge=hedge)
         except OverloadedError as error:
             # An earlier attempt may have run or still run, so this is no refusal.
             logger.warning(
@@ -567,10 +543,10 @@
     return DirectForwarding(
         kernel.find(ServiceName.CLOCK, Clock),
         kernel.find(ServiceName.METRICS, Metrics),
-        kernel.find(ServiceName.ACCOUNTS, Accounts),
         kernel.find(ServiceName.CONDITIONS, Conditions),
         kernel.find(ServiceName.INSTANCES, Instances),
         kernel.find(ServiceName.RETRY_BUDGET, RetryBudget),
+        make_account_gate(kernel),
         kernel.find(ServiceName.WAITING_ROOM, WaitingRoom),
         kernel.find(ServiceName.DRAIN_WINDOW, DrainWindow),
         kernel.find(ServiceName.ROLLOUTS, Rollouts),
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -11,6 +11,7 @@
     DotterelpierError,
     InternalError,
     InvalidCallError,
+    OverCapError,
     OverloadedError,
     StoppingError,
 )
@@ -54,6 +55,7 @@
 # answers.
 BODY_MEMORY_SHARE = 0.2
 STATUS_UNAUTHORIZED = 401
+STATUS_TOO_MANY_REQUESTS = 429
 # Share of the memory of the VM for replies to requests that were served early. At
 # 200 MB, nine such requests are in progress at a time.
 EARLY_MEMORY_SHARE = 0.1
@@ -176,7 +178,7 @@
         ]
         if status == STATUS_UNAUTHORIZED:
             headers.append(("WWW-Authenticate", CHALLENGE))
-        if status == STATUS_UNAVAILABLE:
+        if status in (STATUS_TOO_MANY_REQUESTS, STATUS_UNAVAILABLE):
             headers.append(("Retry-After", f"{_retry_after_s(error):.2f}"))
         return Reply(status, tuple(headers), problem_body(error))
 
@@ -189,7 +191,9 @@
     if isinstance(error, StoppingError):
         # Other entries take the request at once.
         return 0.0
-    stated_s = error.retry_after_s if isinstance(error, OverloadedError) else None
+    stated_s = None
+    if isinstance(error, OverloadedError | OverCapError):
+        stated_s = error.retry_after_s
     return RETRY_AFTER_S if stated_s is None else stated_s
 
 
--- a/dotterelpier/protocols/fleet/__init__.py
+++ b/dotterelpier/protocols/fleet/__init__.py
@@ -15,6 +15,7 @@
     Pages,
     PlannedStop,
     RetryBudget,
+    UsageCaps,
     WaitingRoom,
 )
 from dotterelpier.protocols.fleet.rollouts import (
@@ -79,5 +80,6 @@
     "Stores",
     "Subsets",
     "TrackedAttempt",
+    "UsageCaps",
     "WaitingRoom",
 ]
