Roll-outs: nothing runs at an old server when an entry is cut off

Cause: a state machine that plays service, gate and coordinator of four entries in virtual time found requests at old servers at the completion: from an entry that was cut off and still trusted itself as the coordinator, and from one whose last requests outlived its silence. Change: an entry that hears no coordinator for 3.5 s sends to neither release; one that leads itself counts as in touch only by the reports of more than half of the members. The completion waits for silent entries until they surely stopped; whether one has ended is asked over its peer port. One-way cuts are played too.

--- a/dotterelpier/clients/fleet_peers.py
+++ b/dotterelpier/clients/fleet_peers.py
@@ -83,6 +83,25 @@
             message = f"incarnation is {incarnation}, expected {member.incarnation}"
             raise _unavailable(member, PING_PATH, message)
 
+    def has_ended(self, member: FleetMember) -> bool:
+        """Return whether an incarnation of an entry has surely ended.
+
+        It has if its machine refuses connections, or another incarnation answers.
+        """
+        try:
+            connection = open_connection(member.peer_address, PING_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            return False
+        connection.close()
+        request = encode_ping_request(self._own_name)
+        try:
+            content = self._call(member, PING_PATH, request, PING_TIMEOUT_S)
+            return decode_ping_reply(content) != member.incarnation
+        except (PeerUnavailableError, DecodeError):
+            return False
+
     def changes(self, member: FleetMember, table: str, after: int) -> StoreReply:
         """Return the changes of a store table after a version, as an entry knows them.
 
--- a/dotterelpier/fleet/rollouts/durations.py
+++ b/dotterelpier/fleet/rollouts/durations.py
@@ -28,11 +28,16 @@
 
 def median_bucket(count_by_bucket: Mapping[int, int]) -> int | None:
     """Return the bucket of the median, None without a duration."""
+    return quantile_bucket(count_by_bucket, 0.5)
+
+
+def quantile_bucket(count_by_bucket: Mapping[int, int], quantile: float) -> int | None:
+    """Return the bucket of a quantile, None without a duration."""
     total = sum(count_by_bucket.values())
     below = 0
     for bucket in sorted(count_by_bucket):
         below += count_by_bucket[bucket]
-        if total and 2 * below >= total:
+        if total and below >= quantile * total:
             return bucket
     return None
 
--- a/dotterelpier/fleet/rollouts/gate.py
+++ b/dotterelpier/fleet/rollouts/gate.py
@@ -24,9 +24,9 @@
 # A share older than this is not used.
 SHARE_LIFETIME_S = 2.0
 # An entry that heard a coordinator, and none since for this long, sends nothing to the
-# old releases either: they may have been terminated. It is longer than the two
-# successions of coordinators that the loss of both takes.
-LEASE_S = 4.5
+# old releases either: they may have been terminated. It is longer than the succession
+# of coordinators takes after the loss of the first two.
+LEASE_S = 3.5
 # Credits that an entry without room at the target may save.
 MAX_CREDIT = 2.0
 
@@ -61,6 +61,8 @@
         Version of the record under which nothing goes to the old releases, 0 if it may.
     heard : bool
         Whether a coordinator was ever heard.
+    closed : bool
+        Whether nothing goes to the old releases as none was heard for long.
     """
 
     requests: int
@@ -70,6 +72,7 @@
     choosing_old: int
     sealed_version: int
     heard: bool
+    closed: bool
 
 
 @define
@@ -128,10 +131,18 @@
             self._out_of_service = record.out_of_service()
             return True
 
+    def note_heard(self, at: float) -> None:
+        """Record that the entry was in touch with the fleet at some time.
+
+        It was if a coordinator was heard, or if it is the coordinator itself and heard
+        most of the others.
+        """
+        with self._lock:
+            self._heard_at = max(self._heard_at, at)
+
     def note_share(self, share: float, now: float, age_s: float = 0.0) -> None:
         """Apply a share that the coordinator sent ``age_s`` seconds ago."""
         with self._lock:
-            self._heard_at = max(self._heard_at, now - age_s)
             until = now - age_s + SHARE_LIFETIME_S
             if until > now:
                 self._share, self._share_until = share, until
@@ -176,6 +187,7 @@
                 self._choosing_old,
                 version if sealed else 0,
                 self._heard_at > -math.inf,
+                not self._old_may_serve(now),
             )
 
     def note_request(self, now: float) -> None:
--- a/dotterelpier/fleet/rollouts/participant.py
+++ b/dotterelpier/fleet/rollouts/participant.py
@@ -36,6 +36,7 @@
     RolloutOrder,
     RolloutReport,
     RolloutShare,
+    RolloutState,
     StoredRecord,
 )
 
@@ -142,6 +143,10 @@
     _report_is_urgent: bool = False
     _told_at: float = -math.inf
     _told: RolloutShare | None = None
+    # Since when the entries are told to send nothing to the old releases.
+    _sealed_at: float = math.inf
+    # Names of all entries since the order.
+    _former: set[str] = field(factory=set)
     _final_at: float = math.inf
     _ticked_at: float = -math.inf
     _was_acting: bool = False
@@ -172,6 +177,19 @@
         if self._tally.note(report, now) and report.order_age_s is not None:
             self.clock.note_age(report.order_age_s, now)
 
+    def silent_members(self, around: Surroundings) -> list[FleetMember]:
+        """Return the entries to ask whether they have ended, if this one leads."""
+        if not self._was_acting:
+            return []
+        silent = dict(self._tally.silent(around.now))
+        return [
+            item for item in around.members if silent.get(item.name) == item.incarnation
+        ]
+
+    def note_ended(self, member: FleetMember) -> None:
+        """Record that an entry has ended."""
+        self._tally.note_ended(member.name, member.incarnation)
+
     def receive_share(self, message: RolloutShare, around: Surroundings) -> None:
         """Apply a message of a coordinator.
 
@@ -191,6 +209,7 @@
         if age_s >= SHARE_LIFETIME_S:
             return
         self.succession.note_heard(message.sender, now - age_s)
+        self.traffic.gate.note_heard(now - age_s)
         if not self.succession.is_outranked(message.sender, around.members, now):
             self.traffic.gate.note_share(message.share, now, age_s)
 
@@ -255,6 +274,7 @@
         elif not self.course.has_read and self.course.known().record is None:
             # The order may have been decided before; entries must not be told else.
             return step
+        self.traffic.gate.note_heard(self._tally.majority_heard_at(around.members))
         self.traffic.gate.note_share(step.share, now)
         message = RolloutShare(
             self.order.service,
@@ -303,11 +323,25 @@
             _mean_s(counts.old_by_route.values()),
             self._judgement,
             self._tally.halted() or self.traffic.gate.halted(),
-            self._tally.undrained(around.members, known.version, now),
+            self._undrained(around, known),
             around.slots,
             around.store_answers,
         )
 
+    def _undrained(self, around: Surroundings, known: StoredRecord) -> tuple[str, ...]:
+        """Return the entries that may have or send requests at an old release."""
+        names = {item.name for item in around.members}
+        self._former |= names
+        record = known.record
+        if record is None or record.state is not RolloutState.COMPLETING:
+            self._sealed_at = math.inf
+            return tuple(names)
+        self._sealed_at = min(self._sealed_at, around.now)
+        told_s = around.now - self._sealed_at
+        return self._tally.undrained(
+            names, self._former, known.version, told_s, around.now
+        )
+
     def _report(self, around: Surroundings, outbox: Outbox) -> None:
         share = self.traffic.gate.share(around.now)
         is_full = share >= FULL_REPORT_SHARE
@@ -350,6 +384,7 @@
             in_flight_old,
             status.sealed_version,
             status.heard,
+            status.closed,
             self.traffic.gate.halted(),
             leaving,
         )
--- a/dotterelpier/fleet/rollouts/records.py
+++ b/dotterelpier/fleet/rollouts/records.py
@@ -80,10 +80,10 @@
     def serve(self) -> None:
         """Perform the calls until stopped."""
         while (call := self._calls.get()) is not None:
-            order, step = call
-            self._on_result(self._perform(order, step))
+            self.perform(*call)
 
-    def _perform(self, order: RolloutOrder, step: CourseStep) -> StoreResult:
+    def perform(self, order: RolloutOrder, step: CourseStep) -> None:
+        """Perform one call, and pass its outcome on."""
         asked_at = self._clock.monotonic()
         is_read = step.action is StoreAction.READ
         stored, store_ms = None, 0
@@ -108,7 +108,9 @@
                 error=str(error),
             )
         replied_at = self._clock.monotonic()
-        return StoreResult(order, stored, is_read, store_ms, asked_at, replied_at)
+        self._on_result(
+            StoreResult(order, stored, is_read, store_ms, asked_at, replied_at)
+        )
 
     def _write(
         self, order: RolloutOrder, record: RolloutRecord, expected_version: int
--- a/dotterelpier/fleet/rollouts/succession.py
+++ b/dotterelpier/fleet/rollouts/succession.py
@@ -13,14 +13,16 @@
 REPORTED_RANKS = 2
 # Entries in rank that may act as the coordinator at all.
 ACTING_RANKS = 3
+# Time after which each further one acts; a message of the one before it takes less.
+NEXT_RANK_S = 1.0
 
 
 @define
 class Succession:
     """Ranks the entries for a service, and tracks which of them were heard.
 
-    The first in rank is the coordinator. The next one acts once it has heard none of
-    those before it for the lifetime of a share, the third after twice that time. Times
+    The first in rank is the coordinator. The next one acts once it has not heard it
+    for the lifetime of a share, and the third a little later if it heard neither. Times
     are on the monotonic clock, in seconds.
 
     Attributes
@@ -53,7 +55,7 @@
         before = self.ranked(members)[:position]
         heard = [self._heard_by_name.get(item.name, self.since) for item in before]
         silent_since = max(heard, default=-math.inf)
-        return now - silent_since >= position * SHARE_LIFETIME_S
+        return now - silent_since >= _succession_s(position)
 
     def is_outranked(
         self, name: str, members: Iterable[FleetMember], now: float
@@ -73,5 +75,16 @@
         when a coordinator was last heard.
         """
         silent_s = now - max(heard_at, self.since)
-        start = min(int(silent_s / SHARE_LIFETIME_S), ACTING_RANKS - 1)
+        start = max(
+            position
+            for position in range(ACTING_RANKS)
+            if silent_s >= _succession_s(position)
+        )
         return self.ranked(members)[start : start + REPORTED_RANKS]
+
+
+def _succession_s(position: int) -> float:
+    """Return how long those before a rank must be silent until it acts."""
+    if position == 0:
+        return 0.0
+    return SHARE_LIFETIME_S + (position - 1) * NEXT_RANK_S
--- a/dotterelpier/fleet/rollouts/tally.py
+++ b/dotterelpier/fleet/rollouts/tally.py
@@ -1,27 +1,40 @@
 """Sum of the reports of all entries about one order, at its coordinator."""
 
+import math
 from collections import Counter, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping, Set
 
 from attrs import define, evolve, field, frozen
 
+from dotterelpier.fleet.rollouts.durations import quantile_bucket, upper_bound_s
 from dotterelpier.fleet.rollouts.gate import LEASE_S
 from dotterelpier.model.fleet import FleetMember
 from dotterelpier.model.rollout import ReleaseCounts, RolloutCounts, RolloutReport
 
 # An entry that was heard of and is silent for this long has stopped sending to the old
-# releases, as it hears nothing either.
+# releases, if it hears nothing either. What it sent before may run for as long as
+# nearly all requests do, at most as long as clients wait.
 SILENT_S = LEASE_S + 0.5
+RUN_QUANTILE = 0.98
+MAX_RUN_S = 6.0
+# An entry without a report for this long may have ended.
+MISSED_S = 1.2
+# Time in which an entry that hears the coordinator is told, one message may be lost.
+TOLD_S = 1.0
 # Window in which the rate of requests and the room at the target are measured.
 RATE_WINDOW_S = 2.0
 
 
 @frozen
 class ReceivedReport:
-    """The last report of an incarnation of an entry, and when it came."""
+    """The last report of an incarnation of an entry, and when it came.
+
+    ``has_ended`` tells that the incarnation has surely ended.
+    """
 
     report: RolloutReport
     received_at: float
+    has_ended: bool = False
 
 
 @define
@@ -136,27 +149,74 @@
             if now - item.received_at < SILENT_S and not item.report.leaving
         )
 
+    def silent(self, now: float) -> tuple[tuple[str, str], ...]:
+        """Return name and incarnation of the entries that stopped reporting."""
+        return tuple(
+            (name, item.report.incarnation)
+            for name, item in self._received_by_sender.items()
+            if now - item.received_at > MISSED_S and not item.has_ended
+        )
+
+    def note_ended(self, name: str, incarnation: str) -> None:
+        """Record that an entry has ended, and its requests with it."""
+        received = self._received_by_sender.get(name)
+        if received is not None and received.report.incarnation == incarnation:
+            self._received_by_sender[name] = evolve(received, has_ended=True)
+
     def undrained(
-        self, members: Iterable[FleetMember], sealed_version: int, now: float
+        self,
+        members: Set[str],
+        former: Set[str],
+        sealed_version: int,
+        told_s: float,
+        now: float,
     ) -> tuple[str, ...]:
         """Return the entries that may have or send requests at an old release.
 
-        Left out are entries that ended, and those that are silent for so long that they
-        stopped by themselves.
+        Left out are entries that ended, and those that surely stopped though they do
+        not tell: they hear nothing and stopped by themselves, or they were told to.
+        Their last requests have ended since.
+
+        Parameters
+        ----------
+        members, former : set of str
+            Names of the entries, and of those that were entries since the order.
+        sealed_version : int
+            Version of the record that tells to send nothing to the old releases.
+        told_s : float
+            For how long the entries are told of it, in seconds.
+        now : float
+            The time.
         """
-        member_names = {member.name for member in members}
-        lately = {
-            name
-            for name, item in self._received_by_sender.items()
-            if now - item.received_at < SILENT_S
-        }
-        return tuple(
-            name
-            for name in sorted(member_names | lately)
-            if self._may_use_old(
-                self._received_by_sender.get(name), sealed_version, now
-            )
+        run_s = self._run_s()
+        has_told = told_s >= TOLD_S + run_s
+        undrained = []
+        for name in sorted(members | former | self._received_by_sender.keys()):
+            received = self._received_by_sender.get(name)
+            if received is None or not received.report.heard:
+                stopped = has_told and name not in members
+            else:
+                silent_s = now - received.received_at
+                stopped = has_told and silent_s >= SILENT_S + run_s
+            if not stopped and not _is_drained(received, sealed_version):
+                undrained.append(name)
+        return tuple(undrained)
+
+    def majority_heard_at(self, members: Collection[FleetMember]) -> float:
+        """Return since when more than half of the members have reported.
+
+        Those that have ended do not count.
+        """
+        received = [self._received_by_sender.get(item.name) for item in members]
+        times = sorted(
+            (
+                -math.inf if item is None else item.received_at
+                for item in received
+                if item is None or not item.has_ended
+            ),
+            reverse=True,
         )
+        return times[len(times) // 2] if times else -math.inf
 
     def rate_per_s(self, now: float) -> float:
         """Return the requests each second, 0 while it is unknown."""
@@ -187,17 +247,23 @@
         for instance_id, lost in counts.lost_by_server.items():
             self._lost_by_server[instance_id] += sign * lost
 
-    def _may_use_old(
-        self, received: ReceivedReport | None, sealed_version: int, now: float
-    ) -> bool:
-        if received is None:
-            return True
-        report = received.report
-        if report.leaving:
-            return False
-        if report.sealed_version == sealed_version and not report.in_flight_old:
-            return False
-        return not report.heard or now - received.received_at < SILENT_S
+    def _run_s(self) -> float:
+        """Return how long nearly all requests at the old releases run."""
+        durations: Counter[int] = Counter()
+        for item in self._old_by_route.values():
+            durations.update(item.raw_durations)
+        bucket = quantile_bucket(durations, RUN_QUANTILE)
+        return MAX_RUN_S if bucket is None else min(MAX_RUN_S, upper_bound_s(bucket))
+
+
+def _is_drained(received: ReceivedReport | None, sealed_version: int) -> bool:
+    """Return whether an entry told that nothing is left at the old releases."""
+    if received is None:
+        return False
+    report = received.report
+    sends_none = report.sealed_version == sealed_version or report.closed
+    is_empty = sends_none and not report.in_flight_old
+    return received.has_ended or report.leaving or is_empty
 
 
 def _add_routes(
--- a/dotterelpier/fleet/rollouts/task.py
+++ b/dotterelpier/fleet/rollouts/task.py
@@ -8,6 +8,7 @@
 from attrs import define, evolve, field
 from loguru import logger
 
+from dotterelpier.errors import TaskPoolFullError
 from dotterelpier.fleet.rollouts.course import CourseStep, RolloutCourse, StoreAction
 from dotterelpier.fleet.rollouts.order_clock import OrderClock
 from dotterelpier.fleet.rollouts.participant import (
@@ -21,18 +22,20 @@
 from dotterelpier.fleet.rollouts.succession import Succession
 from dotterelpier.fleet.rollouts.traffic import RolloutTraffic
 from dotterelpier.kernel import Kernel
+from dotterelpier.model.fleet import FleetMember
 from dotterelpier.model.rollout import (
     RolloutReport,
     RolloutShare,
     RolloutState,
     StoredRecord,
 )
-from dotterelpier.protocols import Clock, Metrics, ServiceName
+from dotterelpier.protocols import Clock, Metrics, ServiceName, TaskKind, Tasks
 from dotterelpier.protocols.fleet import (
     Codec,
     DatagramKind,
     Datagrams,
     Fleet,
+    FleetPeers,
     Instances,
     LiveSettings,
     Registry,
@@ -54,6 +57,10 @@
 # change must be in force: when all publishers lose the store at once, the others read
 # it themselves after this time.
 ORDER_DELAY_SHARE = 0.7
+# Time between two questions to an entry that stopped reporting, longer than one takes,
+# and how many entries are asked in this time.
+ASK_INTERVAL_S = 1.5
+MAX_ASKED = 8
 # Pause after a failed call to the store.
 STORE_RETRY_S = 0.3
 # Bounds of the expected duration of a call to the store.
@@ -78,6 +85,7 @@
     call_after: float = float("-inf")
     logged: CourseStep | None = None
     logged_stored: StoredRecord = StoredRecord(None, 0)
+    asked_at_by_name: dict[str, float] = field(factory=dict)
 
 
 @define(eq=False)
@@ -89,8 +97,10 @@
     """
 
     _clock: Clock
+    _tasks: Tasks
     _metrics: Metrics
     _datagrams: Datagrams
+    _peers: FleetPeers
     _fleet: Fleet
     _routes: Routes
     _registry: Registry
@@ -143,17 +153,24 @@
     def serve(self) -> None:
         """Handle what is queued, and tick while an order is undecided."""
         while not self._ended.is_set():
-            try:
-                self._handle(self._inbox.get(timeout=self._wait_s()))
-                for _ in range(min(MAX_BATCH, self._inbox.qsize())):
-                    self._handle(self._inbox.get())
-            except Empty:
-                pass
-            now = self._clock.monotonic()
-            if now >= self._tick_at:
-                self._tick_at = now + TICK_S
-                for participation in tuple(self._participation_by_service.values()):
-                    self._tick(participation)
+            self.run_once(self._wait_s())
+
+    def run_once(self, wait_s: float | None) -> None:
+        """Handle what is queued, waiting for it if nothing is, and tick if it is time.
+
+        With None, it waits without a limit.
+        """
+        try:
+            self._handle(self._inbox.get(timeout=wait_s))
+            for _ in range(min(MAX_BATCH, self._inbox.qsize())):
+                self._handle(self._inbox.get())
+        except Empty:
+            pass
+        now = self._clock.monotonic()
+        if now >= self._tick_at:
+            self._tick_at = now + TICK_S
+            for participation in tuple(self._participation_by_service.values()):
+                self._tick(participation)
 
     def _wait_s(self) -> float | None:
         now = self._clock.monotonic()
@@ -257,12 +274,14 @@
         now = self._clock.monotonic()
         if participant.is_over(now):
             return
-        outbox = participant.tick(self._surroundings(participation))
+        around = self._surroundings(participation)
+        outbox = participant.tick(around)
         self._send(outbox)
         step = outbox.step
         if step is not None:
             self._log_step(participation, step)
             self._call_store(participation, step, now)
+            self._ask_silent(participation, around)
         service = participant.order.service
         share = participant.traffic.gate.share(now)
         self._metrics.set_gauge("rollout_share", share, service=service)
@@ -278,6 +297,24 @@
         participation.call_pending = True
         self.keeper.request(participation.participant.order, step)
 
+    def _ask_silent(self, participation: _Participation, around: Surroundings) -> None:
+        """Ask entries that stopped reporting whether they have ended."""
+        asked_at = participation.asked_at_by_name
+        recent = around.now - ASK_INTERVAL_S
+        for member in participation.participant.silent_members(around):
+            asking = sum(at > recent for at in asked_at.values())
+            if asked_at.get(member.name, recent) > recent or asking >= MAX_ASKED:
+                continue
+            asked_at[member.name] = around.now
+            try:
+                self._tasks.submit(TaskKind.PEER, self._ask, participation, member)
+            except TaskPoolFullError:
+                return
+
+    def _ask(self, participation: _Participation, member: FleetMember) -> None:
+        if self._peers.has_ended(member):
+            self._inbox.put(partial(participation.participant.note_ended, member))
+
     def _surroundings(self, participation: _Participation) -> Surroundings:
         now = self._clock.monotonic()
         servers = participation.servers
@@ -357,8 +394,10 @@
     """Return the task, not yet started, without an order."""
     return RolloutTask(
         kernel.find(ServiceName.CLOCK, Clock),
+        kernel.find(ServiceName.TASKS, Tasks),
         kernel.find(ServiceName.METRICS, Metrics),
         kernel.find(ServiceName.DATAGRAMS, Datagrams),
+        kernel.find(ServiceName.FLEET_PEERS, FleetPeers),
         kernel.find(ServiceName.FLEET, Fleet),
         kernel.find(ServiceName.ROUTES, Routes),
         kernel.find(ServiceName.REGISTRY, Registry),
--- a/dotterelpier/model/rollout.py
+++ b/dotterelpier/model/rollout.py
@@ -190,6 +190,8 @@
     heard : bool
         Whether it ever heard a coordinator of the order, so that it stops sending to
         the old releases when it hears none for long.
+    closed : bool
+        Whether it stopped for that reason, until it hears one.
     halted : str
         Why it sends nothing to the target any more, empty if it may.
     leaving : bool
@@ -207,6 +209,7 @@
     in_flight_old: int = 0
     sealed_version: int = 0
     heard: bool = False
+    closed: bool = False
     halted: str = ""
     leaving: bool = False
 
--- a/dotterelpier/protocols/fleet/state.py
+++ b/dotterelpier/protocols/fleet/state.py
@@ -139,6 +139,13 @@
         """
         ...
 
+    def has_ended(self, member: FleetMember) -> bool:
+        """Return whether an incarnation of an entry has surely ended.
+
+        Blocks until its machine answers or a timeout; False if it does not answer.
+        """
+        ...
+
     def announcement(self, member: FleetMember) -> Announcement:
         """Return the versions of the tables that an entry holds.
 
--- a/dotterelpier/wire/rollouts.py
+++ b/dotterelpier/wire/rollouts.py
@@ -39,6 +39,7 @@
         in_flight_old=report.in_flight_old,
         sealed_version=report.sealed_version,
         heard=report.heard,
+        closed=report.closed,
         halted=report.halted,
         leaving=report.leaving,
         routes=[
@@ -95,6 +96,7 @@
         message.in_flight_old,
         message.sealed_version,
         message.heard,
+        message.closed,
         message.halted,
         message.leaving,
     )
