Refuse a waiting request once its turn is expected too late

Cause: the expected wait was compared with the longest one on entering only. A request that waited while servers left, or requests of a higher priority came, waited to the end although it was known that its turn would come too late.

Change: it is checked anew every 50 ms while it waits; the rate at which requests leave is kept for as long. Clients that repeat a refused request at once get no more than others; that needed no change and has a test now.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -178,6 +178,7 @@
                     waited_ms = self._ms_since(state.request.arrived_at)
                     reason = f"no backend server has room; waited {waited_ms} ms"
                     raise self._waiting_room.refusal(ticket, reason)
+                self._waiting_room.check(ticket)
                 self._waiting_room.note_waits(ticket)
                 self._conditions.wait_for_room(remaining_s)
         finally:
--- a/dotterelpier/fleet/waiting.py
+++ b/dotterelpier/fleet/waiting.py
@@ -31,6 +31,9 @@
 # A request of the next lower priority is served as if it had arrived later by this
 # share of its objective. Unlike strict priorities, this starves none.
 PRIORITY_DELAY_SHARE = 0.1
+# A waiting request is checked anew this often. The rate at which requests leave is kept
+# for as long, as computing it goes through all backend servers.
+RECHECK_S = 0.05
 # Window in which the rate of requests that leave for a backend server is measured.
 RATE_WINDOW_S = 2.0
 # Clients honour up to a third of the time that they have left. Theirs began earlier and
@@ -47,6 +50,8 @@
 
     tickets: list[Ticket] = field(factory=list)
     sent_at: "deque[float]" = field(factory=deque)
+    leave_per_s: float = 0.0
+    rated_at: float = -math.inf
 
     def note_sent(self, now: float) -> None:
         """Count a request that left; forget those before ``RATE_WINDOW_S``."""
@@ -110,6 +115,33 @@
         with self._lock:
             return self._queue_by_service[ticket.service].tickets[0] is ticket
 
+    def check(self, ticket: Ticket) -> None:
+        """Refuse a waiting request once its turn is expected too late.
+
+        Raises
+        ------
+        OverloadedError
+            If room became less, or requests with a higher priority came, since it
+            entered.
+        """
+        now = self._clock.monotonic()
+        if now < ticket.checked_at + RECHECK_S:
+            return
+        ticket.checked_at = now
+        with self._lock:
+            queue = self._queue_by_service[ticket.service]
+            # Compared by identity, as tickets may have the same turn.
+            ahead = next(
+                number for number, item in enumerate(queue.tickets) if item is ticket
+            )
+        if now >= queue.rated_at + RECHECK_S:
+            queue.leave_per_s = self._leave_per_s(ticket.service)
+            queue.rated_at = now
+        wait_s = ahead / queue.leave_per_s if queue.leave_per_s else 0.0
+        if now + wait_s > ticket.wait_until:
+            reason = f"a slot is expected only in {round(wait_s * 1000)} ms by now"
+            raise self.refusal(ticket, reason)
+
     def note_waits(self, ticket: Ticket) -> None:
         """Record that a request could not be sent at once."""
         ticket.waits = True
@@ -163,10 +195,15 @@
         return min(wait_s * spread, left_s * MAX_RETRY_AFTER_SHARE)
 
     def _wait_s(self, service: str, ahead: int) -> float:
-        """Return the expected time until some requests have left, 0 if unknown.
+        """Return the expected time until some requests have left, 0 if unknown."""
+        rate = self._leave_per_s(service)
+        return ahead / rate if rate else 0.0
+
+    def _leave_per_s(self, service: str) -> float:
+        """Return how many requests are expected to leave per second, 0 if unknown.
 
-        Requests leave at the rate measured lately, but at least at this entry's share
-        of what the usable backend servers can start.
+        It is the rate measured lately, but at least this entry's share of what the
+        usable backend servers can start.
         """
         work_s = self._conditions.usual_work_s(service)
         slots = sum(self._conditions.capacity_by_zone(frozenset({service})).values())
@@ -175,8 +212,7 @@
             sent_per_s = self._queue_by_service[service].sent_per_s(
                 self._clock.monotonic()
             )
-        rate = max(capacity_per_s, sent_per_s)
-        return ahead / rate if rate else 0.0
+        return max(capacity_per_s, sent_per_s)
 
 
 def _make_ticket(
--- a/dotterelpier/model/ticket.py
+++ b/dotterelpier/model/ticket.py
@@ -1,5 +1,7 @@
 """Places of requests that wait for room at a backend server."""
 
+import math
+
 from attrs import define, field
 
 
@@ -22,6 +24,8 @@
     waits : bool
         Whether it could not be sent at once, as it was not its turn or there was no
         room.
+    checked_at : float
+        When it was last checked whether it waits in vain.
     """
 
     turn_at: float
@@ -30,3 +34,4 @@
     deadline_at: float = field(order=False)
     service: str = field(order=False)
     waits: bool = field(default=False, order=False)
+    checked_at: float = field(default=-math.inf, order=False)
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -267,6 +267,16 @@
         """Return whether it is the turn of a request."""
         ...
 
+    def check(self, ticket: Ticket) -> None:
+        """Refuse a waiting request once its turn is expected too late.
+
+        Raises
+        ------
+        OverloadedError
+            If that is so.
+        """
+        ...
+
     def note_waits(self, ticket: Ticket) -> None:
         """Record that a request could not be sent at once."""
         ...
--- a/tests/load_model.py
+++ b/tests/load_model.py
@@ -190,7 +190,7 @@
         for item, ticket in sorted(self.waiting, key=lambda pair: pair[1].turn_at):
             overdue = self.clock.now >= ticket.wait_until
             if not overdue and not self.room.is_next(ticket):
-                self.room.note_waits(ticket)
+                self._check(item, ticket)
                 continue
             due_at = ticket.deadline_at if overdue else ticket.objective_at
             choice = self.conditions.pick(
@@ -207,6 +207,15 @@
             item.choice, item.sent_at = choice, self.clock.now
             self._begin(item)
 
+    def _check(self, item: PlayedRequest, ticket) -> None:
+        self.room.note_waits(ticket)
+        try:
+            self.room.check(ticket)
+        except OverloadedError as error:
+            self.waiting.remove((item, ticket))
+            self.room.leave(ticket, sent=False)
+            self._refuse(item, error)
+
     def _begin(self, item: PlayedRequest) -> None:
         server = next(
             server for server in self.servers if server.instance == item.choice.instance
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,11 +4,14 @@
 import time
 
 import pytest
+from attrs import define
 
 from dotterelpier.clients.instances import InstanceClient
-from dotterelpier.errors import TaskPoolFullError
+from dotterelpier.errors import OverloadedError, TaskPoolFullError
+from dotterelpier.fleet.waiting import RECHECK_S
 from dotterelpier.model.instance import InstanceNotice
 from tests.fleet_system import ScriptedInstance, answer, refusal, start_fleet_system
+from tests.load_model import LoadModel, PlayedRequest, make_route
 from tests.test_fleet_decisions import conditions_of, instance
 from tests.test_fleet_requests import register_and_wait
 from tests.test_waiting import URGENT, Conditions, room_of
@@ -32,6 +35,83 @@
     assert room.enter("svc", URGENT, 0.0, left_s).wait_until <= left_s - 0.2
 
 
+def test_waiting_request_is_refused_once_its_turn_comes_too_late() -> None:
+    """It waited to the end although room had become too little meanwhile."""
+    room = room_of(Conditions(work_s=0.1, slots=4.0))
+    tickets = [room.enter("svc", URGENT, 0.0, 2.0) for _ in range(8)]
+    for ticket in tickets:
+        room.check(ticket)
+    room._conditions.slots = 1.0
+    for ticket in tickets:
+        room.check(ticket)
+    room._clock.advance(RECHECK_S)
+    # Ten leave per second, and the longest wait is 0.24 s.
+    for ticket in tickets[:2]:
+        room.check(ticket)
+    for ticket in tickets[2:]:
+        with pytest.raises(OverloadedError, match="a slot is expected"):
+            room.check(ticket)
+
+
+def test_clients_that_repeat_at_once_get_no_more_than_others() -> None:
+    """Each client repeats a refused request once, half of them at once."""
+    served = {True: 0, False: 0}
+    for seed in range(6):
+        model = RepeatingModel(8, seed)
+        model.play(8.0, lambda at: 1.3 * 8 * 25, make_route("r"))
+        model.play(3.0, lambda at: 0.0, make_route("r"))
+        for client in model.clients:
+            served[client.at_once] += client.last.answered_at is not None
+    assert served[True] <= served[False]
+
+
+@define(eq=False)
+class Client:
+    """A client, the last request that it sent, and whether it may repeat it."""
+
+    at_once: bool
+    last: PlayedRequest | None = None
+    may_repeat: bool = True
+
+
+class RepeatingModel(LoadModel):
+    """Load of clients of which every other one ignores the time to retry."""
+
+    def __init__(self, servers: int, seed: int) -> None:
+        super().__init__(servers, seed)
+        self.clients: list[Client] = []
+        self.repeats: list[tuple[float, PlayedRequest, Client]] = []
+
+    def _serve_waiting(self) -> None:
+        now = self.clock.now
+        due = [item for item in self.repeats if item[0] <= now]
+        self.repeats = [item for item in self.repeats if item[0] > now]
+        for _, request, client in due:
+            self._arrive(request.route, client)
+        super()._serve_waiting()
+
+    def _arrive(self, route, client: Client | None = None) -> None:
+        if client is None:
+            client = Client(len(self.clients) % 2 == 0)
+            self.clients.append(client)
+        super()._arrive(route)
+        client.last = self.requests[-1]
+        if client.last.refused_at is not None:
+            self._repeat(client)
+
+    def _refuse(self, item, error) -> None:
+        super()._refuse(item, error)
+        for client in self.clients:
+            if client.last is item:
+                self._repeat(client)
+
+    def _repeat(self, client: Client) -> None:
+        if client.may_repeat:
+            client.may_repeat = False
+            wait_s = 0.0 if client.at_once else client.last.retry_after_s
+            self.repeats.append((client.last.refused_at + wait_s, client.last, client))
+
+
 def test_evacuated_server_does_not_keep_a_service_open() -> None:
     """Requests waited for it while all others had asked for a pause."""
     conditions, clock, routes, _ = conditions_of(instance(1), instance(2, "b"))
