Command config check: faults of a configuration before it is written

Cause: operators learn of a fault in the configuration row from the entries' logs, after it was written; of routes that never match and limits that contradict each other they learn nothing.

Change: dotterelpier config check FILE [--against FILE] [--json]. Errors are the faults of the product's reader, through its protocol. Warnings: routes replaced by one with the same host and prefix, or with a host or path that no request has; services without requests; objective above the timeout, timeouts of 0 or above the 30 s of clients that state none, a warm-up rate of 0 with a warm-up time, an idle timeout below the header timeout; keys that appear twice. Differences are listed by key, without the keys of accounts. Exit status 4 for errors. The reader lists also the routes that others replace; the comparison of manifests is shared.

--- a/dotterelpier/cli/commands.py
+++ b/dotterelpier/cli/commands.py
@@ -34,12 +34,14 @@
     """
 
     def __init__(self) -> None:
+        self.config = ConfigCommands()
         self.manifest = ManifestCommands()
         self.settings = SettingsCommands()
 
     def __dir__(self) -> list[str]:
         return [
             "audit",
+            "config",
             "entry",
             "explain",
             "manifest",
@@ -217,6 +219,39 @@
         return invocation("serve.run_settings_check", path)
 
 
+class ConfigCommands:
+    """Check configurations that operators write to the platform's store."""
+
+    def __dir__(self) -> list[str]:
+        return ["check"]
+
+    @_parse_arguments_as_text
+    def check(self, file: str, *, against: str = "", json: bool = False) -> Invocation:
+        """Check a configuration offline, with the reader that entries use.
+
+        Reports errors, entries that can never match, limits that contradict each other,
+        and what differs from another configuration. Only errors change the exit status.
+
+        Example: dotterelpier config check config.json --against in-force.json
+
+        Parameters
+        ----------
+        file : str
+            Configuration row as JSON; - for standard input.
+        against : str
+            Configuration to compare with, such as the one in force.
+        json : bool
+            Write the result as JSON.
+        """
+        arguments = Arguments("config check")
+        return invocation(
+            "config.run_config_check",
+            arguments.text("file", file),
+            arguments.text("against", against) if against else "",
+            arguments.switch("json", json),
+        )
+
+
 class ManifestCommands:
     """Check, apply and show manifests."""
 
--- a/dotterelpier/exit_status.py
+++ b/dotterelpier/exit_status.py
@@ -25,7 +25,7 @@
     ExitStatus.FAILURE: "an error without an exit status of its own",
     ExitStatus.USAGE: "the command line is invalid",
     ExitStatus.SETTINGS_INVALID: "the settings file is missing or invalid",
-    ExitStatus.MANIFEST_INVALID: "the manifest is missing or invalid",
+    ExitStatus.MANIFEST_INVALID: "the manifest or configuration is missing or invalid",
     ExitStatus.CONFLICT: "another manifest was accepted at the same time",
     ExitStatus.NOT_ACKNOWLEDGED: "written, but not yet acknowledged by a majority",
     ExitStatus.PLATFORM_UNAVAILABLE: "the platform did not answer",
--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -33,7 +33,12 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.hedge import HedgeCandidate
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice
-from dotterelpier.model.request import InstanceAnswer, Reply, Request
+from dotterelpier.model.request import (
+    DEFAULT_TIMEOUT_S,
+    InstanceAnswer,
+    Reply,
+    Request,
+)
 from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
@@ -48,8 +53,6 @@
 )
 
 STEP = "forwarding"
-# For a request without a timeout of its own.
-DEFAULT_TIMEOUT_S = 30.0
 # Shortest time until the deadline in which another attempt can succeed.
 MIN_ATTEMPT_S = 0.02
 FIRST_SERVER_ERROR_STATUS = 500
--- a/dotterelpier/manifest_changes.py
+++ b/dotterelpier/manifest_changes.py
@@ -1,6 +1,6 @@
-"""Lists the differences between two manifests, key by key."""
+"""Lists the differences between two manifests or configurations, key by key."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
 
 from attrs import asdict
@@ -28,11 +28,31 @@
         Lines such as ``"zones.tt-north-1.state: in -> out"``, at most
         ``MAX_CHANGES``; if there are more, a last line counts the others.
     """
-    old = {} if before is None else _flatten(before)
-    new = _flatten(after)
+    return changed_lines({} if before is None else _flatten(before), _flatten(after))
+
+
+def changed_lines(
+    old: Mapping[str, str],
+    new: Mapping[str, str],
+    show: Callable[[str, str], str] = lambda key, value: value,
+) -> tuple[str, ...]:
+    """Return one line for each key that was added, removed or changed.
+
+    Parameters
+    ----------
+    old, new : Mapping
+        Values by key.
+    show : callable
+        Returns how to show a value, from its key and the value.
+
+    Returns
+    -------
+    tuple of str
+        At most ``MAX_CHANGES`` lines; if there are more, a last line counts the others.
+    """
     keys = [*new, *(key for key in old if key not in new)]
     lines = [
-        _line(key, old.get(key), new.get(key))
+        _line(key, *(item and show(key, item) for item in (old.get(key), new.get(key))))
         for key in keys
         if old.get(key) != new.get(key)
     ]
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -7,6 +7,9 @@
 from dotterelpier.model.call import Body, Headers
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
+# For a request whose client states no timeout.
+DEFAULT_TIMEOUT_S = 30.0
+
 Unsubscribe = Callable[[], None]
 
 
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -94,6 +94,24 @@
         limits = _client_limits(fields.child("limits"))
         return RouteTable(version, _group_by_host(routes), terms, limits, tuple(faults))
 
+    def declared_routes(self, content: bytes) -> tuple[Route, ...]:
+        """Return all routes with a valid host and prefix that a row declares.
+
+        Also those that another one with the same host and prefix replaces in the route
+        table. Routes that cannot be read otherwise have no shares.
+
+        Raises
+        ------
+        ConfigError
+            If the row holds no table of routes or services.
+        """
+        fields = _Fields(_parse_object(content), "")
+        terms = _read_each(fields, "services", _service_terms, [])
+        routes = _read_each(fields, "routes", partial(_route, terms), [])
+        table = fields.child("routes")
+        unserved = _unserved_routes(table, sorted(table.keys - routes.keys()))
+        return (*routes.values(), *unserved)
+
     def instance(self, key: str, content: bytes) -> Instance:
         """Return the backend server that a registry row describes.
 
--- a/dotterelpier/protocols/fleet/store.py
+++ b/dotterelpier/protocols/fleet/store.py
@@ -7,7 +7,7 @@
 from dotterelpier.model.instance import (
     Instance,
 )
-from dotterelpier.model.route import RouteTable
+from dotterelpier.model.route import Route, RouteTable
 
 
 class RowStore(Protocol):
@@ -78,6 +78,19 @@
         """
         ...
 
+    def declared_routes(self, content: bytes) -> tuple[Route, ...]:
+        """Return all routes with a valid host and prefix that a row declares.
+
+        Also those that another one with the same host and prefix replaces in the route
+        table.
+
+        Raises
+        ------
+        ConfigError
+            If the row holds no table of routes or services.
+        """
+        ...
+
     def evacuated_zone(self, key: str) -> str | None:
         """Return the zone that a row with this key evacuates, None for other rows."""
         ...
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -25,6 +25,7 @@
 from tests.utils import ROOT
 
 COMMANDS = ["entry", "status", "audit", "version"]
+COMMANDS += ["config check", "settings check"]
 COMMANDS += [f"manifest {name}" for name in ("check", "apply", "show")]
 
 
@@ -85,6 +86,9 @@
         "status --json file",
         "audit --since yesterday",
         "manifest check",
+        "config check",
+        "config check x --against",
+        "config check x --json y",
         "manifest apply x --wait_s soon",
         "manifest apply x --wait_s nan",
         "manifest apply x --wait_s -1",
