--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -35,7 +35,12 @@
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.hedge import HedgeCandidate
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice
-from dotterelpier.model.request import InstanceAnswer, Reply, Request
+from dotterelpier.model.request import (
+    DEFAULT_TIMEOUT_S,
+    InstanceAnswer,
+    Reply,
+    Request,
+)
 from dotterelpier.model.ticket import Ticket
 from dotterelpier.protocols import Clock, Metrics, ServiceName
 from dotterelpier.protocols.fleet import (
@@ -51,8 +56,6 @@
 )
 
 STEP = "forwarding"
-# For a request without a timeout of its own.
-DEFAULT_TIMEOUT_S = 30.0
 # Shortest time until the deadline in which another attempt can succeed.
 MIN_ATTEMPT_S = 0.02
 FIRST_SERVER_ERROR_STATUS = 500
@@ -197,6 +200,7 @@
                     waited_ms = self._ms_since(state.request.arrived_at)
                     reason = f"no backend server has room; waited {waited_ms} ms"
                     raise self._waiting_room.refusal(ticket, reason)
+                self._waiting_room.check(ticket)
                 self._waiting_room.note_waits(ticket)
                 self._conditions.wait_for_room(remaining_s)
         finally:
--- a/dotterelpier/model/request.py
+++ b/dotterelpier/model/request.py
@@ -10,6 +10,9 @@
 from dotterelpier.model.client_memory import UNCOUNTED, AnswerMemory
 from dotterelpier.model.instance import NO_NOTICE, InstanceNotice, LoadFigures
 
+# For a request whose client states no timeout.
+DEFAULT_TIMEOUT_S = 30.0
+
 Unsubscribe = Callable[[], None]
 
 
