Share plan: the canary phase takes what its answers need, no more

A long order would have waited for its end at a tenth of the requests. Releases that an earlier order took out of service stay out for a coordinator that did not see it.

--- a/dotterelpier/fleet/rollouts/course.py
+++ b/dotterelpier/fleet/rollouts/course.py
@@ -231,7 +231,10 @@
         waits_for_age = view.left_s is None and not self._waited(view, AGE_WAIT_S)
         if waits_for_age or not (releases or self._waited(view, RELEASES_WAIT_S)):
             return CourseStep(0.0, self._halted)
-        withdrawn = self.withdrawn - {self.order.target}
+        # What an earlier order took out of service stays out, also where this entry did
+        # not see that order.
+        before = stored.out_of_service() if stored else frozenset()
+        withdrawn = (self.withdrawn | before) - {self.order.target}
         in_service = tuple(item for item in releases if item not in withdrawn)
         state, reason = RolloutState.RUNNING, "ordered"
         if self._halted:
--- a/dotterelpier/fleet/rollouts/share_plan.py
+++ b/dotterelpier/fleet/rollouts/share_plan.py
@@ -25,6 +25,8 @@
 # Answers that the canary phase aims at, so that a release that fails in one of ten
 # requests is found before the full load.
 CANARY_ANSWERS = 60
+# Time in which it aims at them, where the order lasts for longer.
+CANARY_S = 8.0
 MAX_CANARY_SHARE = 0.5
 # Answers after which the share may grow: those of this time at the whole rate.
 STEP_ANSWERS_S = 0.1
@@ -172,12 +174,10 @@
             return 0.0 if self.share < 1 else 1.0
         if self._wants_full(inputs):
             return 1.0
-        to_full_s = max(1.0, inputs.left_s - FULL_BEFORE_END_S)
+        to_full_s = max(1.0, min(CANARY_S, inputs.left_s - FULL_BEFORE_END_S))
         missing = max(0, CANARY_ANSWERS - inputs.answers)
         evidence = missing / (inputs.rate_per_s * to_full_s)
-        spare = self._spare(inputs) / (inputs.rate_per_s * to_full_s)
-        least = self.expose_share * LEAST_PART
-        canary = max(evidence, spare, least)
+        canary = max(evidence, self.expose_share * LEAST_PART)
         return min(canary, self._affordable(inputs), MAX_CANARY_SHARE)
 
     def _wants_full(self, inputs: PlanInputs) -> bool:
@@ -201,13 +201,6 @@
         bound = self.expose_share * inputs.requests + self.expose_slack
         return bound - inputs.received >= inputs.rate_per_s * FULL_REACTION_S
 
-    def _spare(self, inputs: PlanInputs) -> float:
-        """Return the requests that the canary phase may take from the budget."""
-        to_full_s = max(0.0, inputs.left_s - FULL_BEFORE_END_S)
-        requests = inputs.requests + inputs.rate_per_s * to_full_s
-        bound = self.expose_share * requests + self.expose_slack
-        return bound - inputs.received - inputs.rate_per_s * FULL_REACTION_S
-
     def _affordable(self, inputs: PlanInputs) -> float:
         """Return the share at which a bad release stays within the budget."""
         bound = self.expose_share * inputs.requests + self.expose_slack
