The priority of an account goes before that of its routes

Cause: the account was identified, but the waiting room still ordered its requests by the priority of the route. Change: the route of a request takes the account's priority. A test of the waiting room guards it.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -5,7 +5,7 @@
 
 from queue import Empty
 
-from attrs import define, field
+from attrs import define, evolve, field
 from loguru import logger
 
 from dotterelpier.errors import (
@@ -128,6 +128,8 @@
                 step=STEP,
             )
         request = self._gate.identify(table, route, request)
+        if request.account is not None and request.account.priority is not None:
+            route = evolve(route, priority=request.account.priority)
         if not route.shares:
             message = f"route {route.name!r} is not understood"
             raise RouteFaultyError(message, step=STEP)
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -13,6 +13,7 @@
 
 from dotterelpier.clients.datagrams import UdpDatagrams
 from dotterelpier.fleet.freshness import DOUBT_S, FREEZE_GAP_S, SETTLE_S, TableFreshness
+from dotterelpier.fleet.waiting import FairWaitingRoom
 from dotterelpier.frontends.fleet_peers import FleetPeerApplication
 from dotterelpier.log import configure_log
 from dotterelpier.model.account import UsageCap, key_digest
@@ -102,6 +103,23 @@
     assert all("x-dotterelpier-credential" not in run.headers for run in instance.runs)
 
 
+def test_priority_of_an_account_goes_before_that_of_the_route(
+    served, monkeypatch
+) -> None:
+    """Requests of all accounts queued by the priority of their route."""
+    system, _ = served
+    priorities, enter = [], FairWaitingRoom.enter
+
+    def recorded(self, service, route, *args):
+        priorities.append(route.priority)
+        return enter(self, service, route, *args)
+
+    monkeypatch.setattr(FairWaitingRoom, "enter", recorded)
+    for key in (KEY, OTHER_KEY):
+        assert send(system, key).status == 200
+    assert priorities == [1, 2]
+
+
 def test_without_accounts_headers_are_forwarded_as_they_are() -> None:
     system = start_fleet_system()
     instance = ScriptedInstance("i-1", "svc", echo_target)
