Retry-After over a cap is never zero; tests wait for the part of the cap

Cause: a bucket that holds nearly a request gave a Retry-After below half a hundredth of a second, which the header rounds to 0. Change: at least 0.02 s.

--- a/dotterelpier/fleet/usage_caps/service.py
+++ b/dotterelpier/fleet/usage_caps/service.py
@@ -35,6 +35,8 @@
 MAX_LABELLED_ACCOUNTS = 100
 # Clients honour a time to retry up to this share of the time that they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
+# The header has hundredths of a second, and 0 would mean to come back at once.
+MIN_RETRY_AFTER_S = 0.02
 
 
 @define
@@ -99,7 +101,8 @@
         left_s = max(0.0, deadline_at - self._clock.monotonic())
         message = f"the cap of account {account.name!r} is used up"
         error = OverCapError(message, step=STEP, peer=ask.home)
-        error.retry_after_s = min(ask.retry_after_s, left_s * MAX_RETRY_AFTER_SHARE)
+        retry_after_s = max(ask.retry_after_s, MIN_RETRY_AFTER_S)
+        error.retry_after_s = min(retry_after_s, left_s * MAX_RETRY_AFTER_SHARE)
         raise error
 
     def try_extra(
