--- a/review/standins2/system.py
+++ b/review/standins2/system.py
@@ -285,6 +285,8 @@
         self.system, self.deadline_ms = system, deadline_ms
         self.addresses, self.valid_until = [], float("-inf")
         self.client = None
+        # Name of the entry that was used last.
+        self.last = ""
 
     def send(self, target, method="GET", body=None, **headers):
         """Return what ``Client.send`` returns, after a look at the directory."""
@@ -300,6 +302,7 @@
             entries = self.system.entries
             entry = next(item for item in entries if item.address["caller"] == address)
             self.client = Client(entry, self.deadline_ms)
+        self.last = self.client.entry.name
         answer = self.client.send(target, method, body, **headers)
         if self.client.connection is None:
             address = self.client.entry.address["caller"]
@@ -309,6 +312,12 @@
             self.client = None
         return answer
 
+    def close(self):
+        """Close the connection."""
+        if self.client is not None:
+            self.client.close()
+            self.client = None
+
     def _resolve(self):
         for entry in random.sample(
             self.system.entries, min(3, len(self.system.entries))
