--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -183,7 +183,8 @@
     store: RowStoreState
     store_address: str
     settings: FleetSettings
-    kernel: Kernel
+    # Its repr would follow every reference among the services, which takes minutes.
+    kernel: Kernel = field(repr=False)
     _ids: "itertools.count[int]" = field(factory=itertools.count)
 
     def apply(self, version: int, routes: dict[str, Any], *services: str) -> None:
