Tests log errors as the program does, without the values of variables

Cause: loguru's default output shows the variables of a traceback, and the repr of a service follows its references to all others; the task that logged the error held up the table meanwhile. The program turns this off (dotterelpier/log.py); the tests now do the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,11 @@
 """Hypothesis profile, markers and fixtures that all tests share."""
 
+import sys
 from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
+from loguru import logger
 
 from dotterelpier.model.manifest import Manifest
 from dotterelpier.wire.manifest_toml import read_manifest
@@ -23,6 +25,10 @@
 
 
 def pytest_configure(config: pytest.Config) -> None:
+    # As in the program, a logged error does not show the values of variables: the repr
+    # of a service follows its references to all others, which takes minutes.
+    logger.remove()
+    logger.add(lambda text: sys.stderr.write(text), backtrace=False, diagnose=False)
     config.addinivalue_line(
         "markers", "promise(number): verifies the promise of this number"
     )
