A late report does not bring back a backend server that has left

Cause: the store may perform a report seconds after the call. The decoder dropped the number of the report, and the registry kept nothing of a deleted row, so any row counted as news. Evidence: in the logs of all nine entries, extended by the number, report 6 is registered 2.7 s after the row was deleted, though the reports up to 8 had been written by then; 63 ms later the entries take the server for usable, on the datagram of its home.

Fix: registrations are ordered by the start of the server and the number of the report. One that is older than the last one, or than the one that was deleted, is ignored. One with an earlier start counts if its row still stands after 30 s: the clock of the server may have been set back before it started again.

--- a/dotterelpier/fleet/registry.py
+++ b/dotterelpier/fleet/registry.py
@@ -9,6 +9,7 @@
 
 from dotterelpier.errors import ConfigError
 from dotterelpier.fleet.follower import TableFollower, apply_each, make_follower
+from dotterelpier.fleet.registration_order import RegistrationOrder
 from dotterelpier.kernel import Kernel
 from dotterelpier.model.fleet import StoreRow
 from dotterelpier.model.instance import Instance
@@ -22,6 +23,11 @@
 # Registrations that lapsed during an outage of the store are renewed within about two
 # seconds after it.
 LAPSED_GRACE_S = 2.0
+# A registration with an earlier start than the last one comes from a late write, or
+# from a backend server whose clock was set back before it started again. Late writes
+# come within seconds, and their rows are deleted after three missed reports, so a row
+# that stands for longer is not one.
+OUTDATED_ROW_S = 30.0
 
 
 @define
@@ -37,6 +43,9 @@
     _loaded: bool = False
     _instance_by_id: dict[str, Instance] = field(factory=dict)
     _lapsed_ids: set[str] = field(factory=set)
+    _order: RegistrationOrder = field(factory=RegistrationOrder)
+    # Versions of the rows that stand in the store but are outdated.
+    _outdated_version_by_id: dict[str, int] = field(factory=dict)
     _listeners: list[Callable[[], None]] = field(factory=list)
     _lock: threading.RLock = field(factory=threading.RLock)
 
@@ -71,7 +80,8 @@
         """Apply all rows; a backend server without a row counts as deleted."""
         present = {row.key for row in rows}
         with self._lock:
-            gone = tuple(self._instance_by_id.keys() - present)
+            known = self._instance_by_id.keys() | self._outdated_version_by_id.keys()
+            gone = tuple(known - present)
         deleted = tuple(StoreRow(key, None, 0) for key in gone)
         self.apply_changes((*deleted, *rows))
         self._loaded = True
@@ -83,6 +93,7 @@
         self._notify_listeners()
 
     def _apply_row(self, row: StoreRow) -> None:
+        self._outdated_version_by_id.pop(row.key, None)
         if row.value is None:
             self._handle_deletion(row.key)
             return
@@ -94,20 +105,58 @@
                 peer=row.key,
                 error=str(error),
             )
+            # Another writer replaced the row; the same report may restore it.
             self._instance_by_id.pop(row.key, None)
             return
-        self._lapsed_ids.discard(row.key)
-        if self._instance_by_id.get(row.key) != instance:
+        newer = self._order.find_newer(instance, self._instance_by_id.get(row.key))
+        if newer is None:
+            self._register(instance, row.version)
+        else:
+            self._ignore_outdated(instance, newer, row.version)
+
+    def _register(self, instance: Instance, version: int) -> None:
+        self._lapsed_ids.discard(instance.id)
+        self._order.note_registered(instance)
+        if self._instance_by_id.get(instance.id) != instance:
             logger.info(
                 "backend server registered",
-                peer=row.key,
+                peer=instance.id,
                 service=instance.service,
                 zone=instance.zone,
                 draining=instance.draining,
                 cold_s=instance.cold_remaining_s,
-                version=row.version,
+                started_at_ms=instance.started_at_ms,
+                report=instance.report_number,
+                version=version,
+            )
+        self._instance_by_id[instance.id] = instance
+
+    def _ignore_outdated(
+        self, instance: Instance, newer: Instance, version: int
+    ) -> None:
+        logger.info(
+            "registration is outdated; ignoring it",
+            peer=instance.id,
+            started_at_ms=instance.started_at_ms,
+            report=instance.report_number,
+            newer_started_at_ms=newer.started_at_ms,
+            newer_report=newer.report_number,
+            version=version,
+        )
+        if instance.started_at_ms < newer.started_at_ms:
+            self._outdated_version_by_id[instance.id] = version
+            self._timer.after(
+                OUTDATED_ROW_S, lambda: self._accept_standing(instance, version)
             )
-        self._instance_by_id[row.key] = instance
+
+    def _accept_standing(self, instance: Instance, version: int) -> None:
+        """Register a backend server whose row was outdated, if the row still stands."""
+        with self._lock:
+            if self._outdated_version_by_id.get(instance.id) != version:
+                return
+            del self._outdated_version_by_id[instance.id]
+            self._register(instance, version)
+        self._notify_listeners()
 
     def _handle_deletion(self, key: str) -> None:
         instance = self._instance_by_id.get(key)
@@ -136,8 +185,17 @@
         self._notify_listeners()
 
     def _drop(self, key: str, reason: str) -> None:
-        if self._instance_by_id.pop(key, None) is not None:
-            logger.info("backend server gone", peer=key, reason=reason)
+        instance = self._instance_by_id.pop(key, None)
+        if instance is None:
+            return
+        self._order.note_deleted(instance)
+        logger.info(
+            "backend server gone",
+            peer=key,
+            reason=reason,
+            started_at_ms=instance.started_at_ms,
+            report=instance.report_number,
+        )
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
--- a/dotterelpier/model/instance.py
+++ b/dotterelpier/model/instance.py
@@ -1,6 +1,6 @@
 """Incarnations of backend servers, their health checks and load reports."""
 
-from attrs import frozen
+from attrs import field, frozen
 
 
 @frozen
@@ -28,6 +28,10 @@
         start identify the incarnation.
     release : str
         Release of the software that it runs, empty if unknown.
+    report_number : int
+        Number of the report that wrote this registration, 0 if unknown. It grows with
+        each report of an incarnation; registrations that differ in nothing else are
+        equal.
     """
 
     id: str
@@ -39,6 +43,7 @@
     cold_remaining_s: float = 0.0
     started_at_ms: int = 0
     release: str = ""
+    report_number: int = field(default=0, eq=False)
 
 
 @frozen
--- a/dotterelpier/platform/codec.py
+++ b/dotterelpier/platform/codec.py
@@ -155,6 +155,7 @@
             cold_remaining_s=cold_ms / 1000,
             started_at_ms=fields.get("born", _integer, 0),
             release=info.get("version", _text, ""),
+            report_number=status.get("sequence", _integer, 0),
         )
 
 
--- a/tests/fleet_system.py
+++ b/tests/fleet_system.py
@@ -114,8 +114,10 @@
         self.runs.append(received)
         return self.script(received)
 
-    def row(self, state: str = "ready") -> dict[str, Any]:
-        """Return the row that the backend server writes to the registry."""
+    def row(
+        self, state: str = "ready", report: int = 1, started_at_ms: int = 1
+    ) -> dict[str, Any]:
+        """Return the row of a report that the backend server writes to the registry."""
         return {
             "address": self.server.address,
             "serverInfo": {
@@ -126,10 +128,10 @@
             },
             "status": {
                 "state": state,
-                "sequence": 1,
+                "sequence": report,
                 "coldRemainingMs": self.cold_ms,
             },
-            "born": 1,
+            "born": started_at_ms,
         }
 
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -241,6 +241,7 @@
     assert instance == Instance(
         "i-1", "svc", "10.0.0.1:80", "z", 4, True, 1.5, 1_700_000_000_123, "v1"
     )
+    assert instance.report_number == 4
 
 
 @pytest.mark.parametrize(
