A returned backend server needs a good health check before requests

A health report that was bad did not keep requests away either: such reports may be wrong.

Fix: entries remember which incarnations had a registration that ended. One that is registered again gets requests after a health check that began since, with a good report; for all others a bad report counts as before.

--- a/dotterelpier/fleet/condition.py
+++ b/dotterelpier/fleet/condition.py
@@ -74,6 +74,9 @@
         End of its quarantine.
     closed_until : float
         Until when it asked for no requests, infinite if it leaves.
+    returned : bool
+        Whether its registration had ended before and it reported no good health since.
+        The registration may be that of a late write.
     """
 
     instance: Instance
@@ -92,6 +95,7 @@
     failure_score: float = 0.0
     quarantined_until: float = -math.inf
     closed_until: float = -math.inf
+    returned: bool = False
     _quarantine_s: float = QUARANTINE_FIRST_S
     _cold_tokens: float = COLD_BURST
     _cold_tokens_at: float = -math.inf
@@ -151,9 +155,15 @@
         self.invalidated_at = now
 
     def apply_report(self, report: HealthReport, now: float) -> None:
-        """Update the state from the answer to a health check."""
-        self.verified, self.unreachable, self.own_check_needed = True, "", False
+        """Update the state from the answer to a health check.
+
+        A bad health report may be wrong, so it excludes a backend server only if that
+        may have left.
+        """
+        self.unreachable, self.own_check_needed = "", False
         self.healthy = report.healthy
+        self.returned = self.returned and not report.healthy
+        self.verified = not self.returned
         if report.cold_remaining_s > 0:
             self.cold_until = now + report.cold_remaining_s
         elif report.healthy:
--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -11,6 +11,7 @@
 from dotterelpier.fleet.choosing import ChosenInstance, ConditionChooser
 from dotterelpier.fleet.condition import LOAD_FRESH_S, SLOW_RATIO, Condition
 from dotterelpier.fleet.demand import RequestTimes
+from dotterelpier.fleet.departures import Departures
 from dotterelpier.fleet.full_load import FullLoadEstimate
 from dotterelpier.fleet.notices import InstanceNotices, is_same_incarnation
 from dotterelpier.fleet.rollouts.disabled import NoRollouts
@@ -55,6 +56,7 @@
     _work_time_by_service: WorkTimeEstimates = field(factory=WorkTimeEstimates)
     _full_load: FullLoadEstimate = field(factory=FullLoadEstimate)
     _notices: InstanceNotices = field(factory=InstanceNotices)
+    _departures: Departures = field(factory=Departures)
     _request_times: RequestTimes = field(factory=RequestTimes)
     _condition_by_id: dict[str, Condition] = field(factory=dict)
     _evacuated_ids: frozenset[str] = frozenset()
@@ -90,6 +92,8 @@
                 item.id: self._updated(before.get(item.id), item, now)
                 for item in instances
             }
+            for instance_id in before.keys() - self._condition_by_id.keys():
+                self._departures.note(before[instance_id].instance)
             self._apply_evacuations(instances, now)
             self._changed.notify_all()
 
@@ -102,8 +106,15 @@
         """
         if before is None or not is_same_incarnation(before.instance, instance):
             cold_until = now + instance.cold_remaining_s
-            closed_until = self._notices.closed_until(instance)
-            return Condition(instance, cold_until=cold_until, closed_until=closed_until)
+            returned = self._departures.includes(instance)
+            return Condition(
+                instance,
+                cold_until=cold_until,
+                closed_until=self._notices.closed_until(instance),
+                # Checks that began before it left do not show that it is back.
+                invalidated_at=now if returned else -math.inf,
+                returned=returned,
+            )
         if instance.cold_remaining_s > before.instance.cold_remaining_s:
             before.cold_until = max(before.cold_until, now + instance.cold_remaining_s)
         before.instance = instance
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -13,16 +13,18 @@
 
 from dotterelpier.fleet.registry import OUTDATED_ROW_S, FollowedRegistry
 from dotterelpier.model.fleet import StoreRow
-from dotterelpier.model.instance import Instance
+from dotterelpier.model.instance import HealthReport, Instance, Measurement
 from dotterelpier.protocols import ServiceName
 from dotterelpier.protocols.fleet import Registry
 from tests.fakes import ManualClock, StepTimer
 from tests.fleet_system import ScriptedInstance, start_fleet_system
+from tests.test_fleet_decisions import check, conditions_of, picked
 from tests.test_fleet_requests import echo_target, register_and_wait
 from tests.utils import wait_until
 
 VERSIONS = itertools.count(1)
 NUMBERS = st.integers(1, 4)
+STARTED = Instance("i-1", "svc", "10.0.0.1:80", "a", 4, started_at_ms=5)
 
 
 class CodecOfFakeRows:
@@ -213,3 +215,33 @@
     for _ in range(20):
         assert system.send("/a/x").status == 200
     assert len(left.runs) == runs
+
+
+def returned_server():
+    """Return conditions with a server that left and was registered again."""
+    conditions, clock, _, registry = conditions_of(STARTED)
+    check(conditions, clock, STARTED)
+    clock.advance(1.0)
+    for known in ((), (STARTED,)):
+        registry.known = known
+        conditions._subsets.refresh()
+        conditions.refresh()
+    return conditions, clock
+
+
+def test_returned_server_gets_requests_only_after_a_good_health_check() -> None:
+    """A late report has a newer number if the entry did not see the later ones."""
+    conditions, clock = returned_server()
+    check(conditions, clock, STARTED, healthy=False)
+    assert picked(conditions) == []
+    check(conditions, clock, STARTED)
+    assert picked(conditions) == ["i-1"]
+    check(conditions, clock, STARTED, healthy=False)
+    assert picked(conditions) == ["i-1"]
+
+
+def test_check_from_before_it_left_does_not_show_that_a_server_is_back() -> None:
+    conditions, clock = returned_server()
+    report = HealthReport("i-1", True)
+    conditions.note_measurement(Measurement("i-1", clock.now - 1.0, report))
+    assert picked(conditions) == []
