Entries tell each other that a backend server leaves, and which start they checked

Callers saw requests of theirs at a server that had left: an entry that had no request in flight there, and is not its home, learns of its health by the datagram of the home only. A restarted entry remembers no earlier report, so only this can tell it.

Related: a result did not say which incarnation was checked. One that was under way, or late, when the server started again under its id counted for the next incarnation: a good one made it usable unchecked, a bad one stopped its requests.

Fix: the datagram says that the server leaves and when the checked incarnation started; results of another incarnation are ignored, those of this entry's own checks included. Datagrams of earlier releases lack both fields and count as before.

--- a/dotterelpier/fleet/conditions.py
+++ b/dotterelpier/fleet/conditions.py
@@ -393,7 +393,7 @@
     def note_check(self, measurement: Measurement) -> None:
         """Record the result of a health check of this entry."""
         if measurement.unreachable:
-            self.note_unreachable(measurement.instance_id, measurement.unreachable)
+            self._apply_unreachable(measurement, own=True)
         else:
             self._apply_report(measurement, own=True)
 
@@ -401,8 +401,14 @@
         """Record the result of another entry's health check."""
         if measurement.unreachable:
             self._apply_unreachable(measurement, own=False)
-        else:
-            self._apply_report(measurement, own=False)
+            return
+        self._apply_report(measurement, own=False)
+        report = measurement.report
+        if report is not None and report.notice.leaving:
+            with self._changed:
+                condition = self._checked_condition(measurement)
+            if condition is not None:
+                self.note_notice(condition.instance, report.notice)
 
     def note_unreachable(self, instance_id: str, reason: str) -> None:
         """Record that this entry cannot reach a backend server, with the reason."""
@@ -428,13 +434,23 @@
                 return True
             return self._clock.monotonic() - condition.checked_at > fresh_s
 
+    def _checked_condition(self, measurement: Measurement) -> Condition | None:
+        """Return the condition of the incarnation that a health check was sent to."""
+        condition = self._condition_by_id.get(measurement.instance_id)
+        if condition is None:
+            return None
+        started_at_ms = measurement.started_at_ms
+        if started_at_ms not in (0, condition.instance.started_at_ms):
+            return None
+        return condition
+
     def _apply_report(self, measurement: Measurement, *, own: bool) -> None:
         report = measurement.report
         if report is None:
             return
         now = self._clock.monotonic()
         with self._changed:
-            condition = self._condition_by_id.get(measurement.instance_id)
+            condition = self._checked_condition(measurement)
             if condition is None or measurement.measured_at < condition.invalidated_at:
                 return
             condition.checked_at = max(condition.checked_at, measurement.measured_at)
@@ -459,7 +475,7 @@
 
     def _apply_unreachable(self, measurement: Measurement, *, own: bool) -> None:
         with self._changed:
-            condition = self._condition_by_id.get(measurement.instance_id)
+            condition = self._checked_condition(measurement)
             if condition is None:
                 return
             condition.checked_at = max(condition.checked_at, measurement.measured_at)
--- a/dotterelpier/fleet/measurements.py
+++ b/dotterelpier/fleet/measurements.py
@@ -114,6 +114,7 @@
         return last_sent.unreachable != new.unreachable
     return (
         before.healthy != after.healthy
+        or before.notice.leaving != after.notice.leaving
         or (before.cold_remaining_s > 0) != (after.cold_remaining_s > 0)
         or _load_changed(before.load, after.load)
     )
--- a/dotterelpier/fleet/prober.py
+++ b/dotterelpier/fleet/prober.py
@@ -102,11 +102,20 @@
         try:
             report = connection.check(path, CHECK_TIMEOUT_S)
         except CallError as error:
-            return Measurement(instance.id, sent_at, unreachable=str(error))
-        if report.instance_id not in ("", instance.id):
-            reason = f"address of {report.instance_id}"
-            return Measurement(instance.id, sent_at, unreachable=reason)
-        return Measurement(instance.id, sent_at, report)
+            unreachable = str(error)
+        else:
+            if report.instance_id in ("", instance.id):
+                started_at_ms = instance.started_at_ms
+                return Measurement(
+                    instance.id, sent_at, report, started_at_ms=started_at_ms
+                )
+            unreachable = f"address of {report.instance_id}"
+        return Measurement(
+            instance.id,
+            sent_at,
+            unreachable=unreachable,
+            started_at_ms=instance.started_at_ms,
+        )
 
 
 @define(eq=False)
--- a/dotterelpier/model/instance.py
+++ b/dotterelpier/model/instance.py
@@ -126,9 +126,12 @@
         Answer of the server, None if it did not answer.
     unreachable : str
         Reason that the server did not answer, empty if it did.
+    started_at_ms : int
+        Start of the incarnation that was checked, 0 if unknown.
     """
 
     instance_id: str
     measured_at: float
     report: HealthReport | None = None
     unreachable: str = ""
+    started_at_ms: int = 0
--- a/dotterelpier/wire/fleet.py
+++ b/dotterelpier/wire/fleet.py
@@ -12,7 +12,13 @@
     StoreRow,
     TableVersions,
 )
-from dotterelpier.model.instance import HealthReport, LoadFigures, Measurement
+from dotterelpier.model.instance import (
+    NO_NOTICE,
+    HealthReport,
+    InstanceNotice,
+    LoadFigures,
+    Measurement,
+)
 from dotterelpier.wire import fleet_pb2
 
 MESSAGE_TYPE = "application/x-protobuf"
@@ -196,11 +202,13 @@
         instance_id=item.instance_id,
         unreachable=item.unreachable,
         age_ms=max(0, round((now - item.measured_at) * MS_PER_S)),
+        started_at_ms=item.started_at_ms,
     )
     report = item.report
     if report is None:
         return message
     message.healthy = report.healthy
+    message.leaving = report.notice.leaving
     message.cold_ms = round(report.cold_remaining_s * MS_PER_S)
     if report.load is not None:
         message.running = report.load.running
@@ -214,12 +222,18 @@
     measured_at = now - message.age_ms / MS_PER_S
     if message.unreachable:
         return Measurement(
-            message.instance_id, measured_at, unreachable=message.unreachable
+            message.instance_id,
+            measured_at,
+            unreachable=message.unreachable,
+            started_at_ms=message.started_at_ms,
         )
     load = None
     if message.slots:
         ratio = message.work_percent / PERCENT
         load = LoadFigures(message.running, message.waiting, message.slots, ratio)
     cold_s = message.cold_ms / MS_PER_S
-    report = HealthReport(message.instance_id, message.healthy, load, cold_s)
-    return Measurement(message.instance_id, measured_at, report)
+    notice = InstanceNotice(leaving=True) if message.leaving else NO_NOTICE
+    report = HealthReport(message.instance_id, message.healthy, load, cold_s, notice)
+    return Measurement(
+        message.instance_id, measured_at, report, started_at_ms=message.started_at_ms
+    )
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -12,15 +12,18 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
+from dotterelpier.fleet.measurements import _needs_sending
 from dotterelpier.fleet.prober import HealthChecks
 from dotterelpier.model.instance import (
     HealthReport,
     Instance,
     InstanceNotice,
     LoadFigures,
+    Measurement,
 )
 from dotterelpier.protocols import ServiceName
 from dotterelpier.protocols.fleet import Conditions
+from dotterelpier.wire.fleet import decode_measurements, encode_measurements
 from tests.fakes import ManualClock
 from tests.fleet_system import (
     ScriptedInstance,
@@ -223,3 +226,49 @@
     assert len(full.runs) == 1
     conditions = system.kernel.find(ServiceName.CONDITIONS, Conditions)
     assert not conditions.wants_check("i-1")
+
+
+def told(conditions, clock, measurement: Measurement) -> None:
+    """Pass the result of a health check on, as the datagrams between entries do."""
+    content = encode_measurements([measurement], clock.now)
+    for received in decode_measurements(content, clock.now):
+        conditions.note_measurement(received)
+
+
+def test_result_of_another_entry_tells_that_a_server_leaves() -> None:
+    """Without this, an entry used a leaving server while the others had no room."""
+    conditions, clock, _, _ = conditions_of(incarnation(1))
+    report = HealthReport("i-1", False, notice=LEAVING)
+    told(conditions, clock, Measurement("i-1", clock.now, report, started_at_ms=1))
+    assert picked(conditions) == []
+    assert conditions.closed_until("svc") == math.inf
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        {"report": HealthReport("i-1", True)},
+        {"report": HealthReport("i-1", False, notice=LEAVING)},
+        {"unreachable": "refused"},
+    ],
+)
+@pytest.mark.parametrize("own", [True, False])
+def test_check_of_an_earlier_incarnation_says_nothing_of_the_next(own, result) -> None:
+    conditions, clock, _, _ = conditions_of(incarnation(1, started_at_ms=2))
+    late = Measurement("i-1", clock.now, started_at_ms=1, **result)
+    if own:
+        conditions.note_check(late)
+    else:
+        told(conditions, clock, late)
+    assert picked(conditions) == []
+    check(conditions, clock, incarnation(1, started_at_ms=2))
+    told(conditions, clock, late)
+    assert picked(conditions) == ["i-1"]
+
+
+def test_result_is_sent_at_once_when_a_server_begins_to_leave() -> None:
+    before = HealthReport("i-1", False)
+    after = evolve(before, notice=LEAVING)
+    assert _needs_sending(
+        Measurement("i-1", 1.0, before), Measurement("i-1", 1.1, after)
+    )
