A publisher's first copy of a table counts deletions that it cannot know

Entries could keep a deleted row for good: a backend server that has left, an entry, an evacuation that was taken back. Cause: a publisher announces the newest change that it knows of a table. Its first copy holds no deleted rows, so after both publishers had restarted they announced an older change than the deletion, and a reader that was past that one asked for nothing.

Fix: the newest change of a first copy is the version at which it was read. Readers that are behind it fetch the whole table once.

--- a/dotterelpier/fleet/mirror.py
+++ b/dotterelpier/fleet/mirror.py
@@ -53,7 +53,8 @@
 
     def _delete_missing(self, reply: StoreReply) -> None:
         if self._complete_to < 0:
-            self._known_since = reply.version
+            # Rows may have been deleted at any version up to this one.
+            self._known_since = self._newest_change = reply.version
         present = {row.key for row in reply.rows}
         for key in tuple(self._row_by_key.keys() - present):
             self._apply_row(StoreRow(key, None, reply.version))
