entry: a late reply to a heartbeat does not undo a later heartbeat

Callers of `dotterelpier entry` could be sent to an entry in a planned stop, and calls relayed to it, until its next heartbeat. Cause: the reply to a heartbeat of ours and the heartbeats of the peer come on different connections; the last to arrive counted, whichever was written first.

Fix: a heartbeat with an older revision, or one that takes a planned stop back, is older than the recorded one and is ignored: neither can happen to an entry, whose id is new with each start.

--- a/dotterelpier/services/heartbeat_tracker.py
+++ b/dotterelpier/services/heartbeat_tracker.py
@@ -36,7 +36,7 @@
     def record_heartbeat(
         self, member: Member, heartbeat: Heartbeat, now: float, revision: int
     ) -> None:
-        """Record a heartbeat of a known member.
+        """Record a heartbeat of a known member, unless a later one was recorded.
 
         Parameters
         ----------
@@ -50,6 +50,9 @@
             Manifest revision in force on this entry.
         """
         with self._lock:
+            before = self._status_by_id.get(member.id, PeerStatus(member))
+            if before.heartbeat and _is_outdated(heartbeat, before.heartbeat):
+                return
             self._status_by_id[member.id] = PeerStatus(member, heartbeat, now)
             if heartbeat.platform_reached:
                 self._platform_unreached_at_by_id.pop(member.id, None)
@@ -146,6 +149,17 @@
         return status.heartbeat.revision > revision and now - since > CATCH_UP_S
 
 
+def _is_outdated(heartbeat: Heartbeat, before: Heartbeat) -> bool:
+    """Return whether a heartbeat was certainly written before another of its sender.
+
+    An entry never takes its planned stop back, and its revision never falls. A reply to
+    a heartbeat may arrive after a later heartbeat of the same entry.
+    """
+    if heartbeat.revision != before.revision:
+        return heartbeat.revision < before.revision
+    return before.leaving and not heartbeat.leaving
+
+
 def make_heartbeat_tracker(contact_s: float) -> HeartbeatTracker:
     """Return a tracker that has no heartbeats yet."""
     return HeartbeatTracker(contact_s)
