Heads of answers are bounded in bytes

Operators of a similar system reported that a faulty backend server sent bytes without end in a head until the caller ran out of memory.

Cause: http.client bounds a line to 64 KiB and a head to 100 lines, so one head may take 6.5 MB; the memory budget counts bodies only. Bodies without end, status checks, calls of the store and of other entries hold few bytes: tried, with tests.

Fix: the reader that all clients of both front ends share rejects a head, interim ones included, of more than 64 KiB. The answer counts as lost, as for any malformed head.

--- a/dotterelpier/clients/http_connection.py
+++ b/dotterelpier/clients/http_connection.py
@@ -24,6 +24,9 @@
 FOLDED_LINE = re.compile(r"\r?\n[ \t]+")
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# Of all heads of one answer, interim ones included. http.client alone allows 100 lines
+# of 64 KiB each, which a few dozen connections hold at a time.
+MAX_HEAD_BYTES = 64 << 10
 
 
 @define
@@ -73,6 +76,11 @@
 
     _stream: Any
     next_line: LineKind = LineKind.HEAD
+    _head_bytes: int = 0
+
+    def begin_head(self) -> None:
+        """Expect the head of another answer."""
+        self.next_line, self._head_bytes = LineKind.HEAD, 0
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line.
@@ -84,11 +92,15 @@
         IncompleteRead
             If the size of a chunk is truncated.
         MalformedAnswerError
-            If the size of a chunk is malformed.
+            If the size of a chunk is malformed, or the head is too large.
         """
         line: bytes = self._stream.readline(limit)
         if self.next_line is LineKind.HEAD:
             _check_head_line(line, limit)
+            self._head_bytes += len(line)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                message = f"head is larger than {MAX_HEAD_BYTES} bytes"
+                raise MalformedAnswerError(message)
         elif self.next_line is LineKind.CHUNK_SIZE and _chunk_size(line) == 0:
             # The body is complete; the trailer is not used and may be truncated.
             self.next_line = LineKind.TRAILER
@@ -244,7 +256,7 @@
         response = type(self)(self.sock, method=self.method)
         response.reader.release()
         response.reader = self.reader
-        response.reader.next_line = LineKind.HEAD
+        response.reader.begin_head()
         response.fp = response.reader  # type: ignore[assignment]
         response.begin()
         return response
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,9 +11,16 @@
 import pytest
 from attrs import define, field
 
+from dotterelpier.clients.fleet_peers import make_fleet_peers
+from dotterelpier.clients.http_connection import MalformedAnswerError, open_connection
 from dotterelpier.clients.instances import HttpHealthConnection
 from dotterelpier.clients.platform import make_platform_client
-from dotterelpier.errors import CallError, PlatformUnavailableError
+from dotterelpier.errors import (
+    CallError,
+    PeerUnavailableError,
+    PlatformUnavailableError,
+)
+from dotterelpier.model.fleet import FleetMember
 from dotterelpier.model.instance import Instance
 from dotterelpier.platform.headers import make_platform_headers
 from dotterelpier.platform.store import make_row_stores
@@ -63,6 +70,7 @@
     "header trickles": (HEAD + b"A: ", b"a", TRICKLE_S),
     "head has no end": (HEAD, b"A: b\r\n", 0.0),
     "line has no end": (b"", BLOCK, 0.0),
+    "long lines have no end": (HEAD, b"A: " + BLOCK[:60_000] + b"\r\n", 0.0),
     "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n", 0.0),
     "body trickles": (HEAD + b"\r\n", b"{", TRICKLE_S),
     "body has no end": (HEAD + b"\r\n", BLOCK, 0.0),
@@ -116,6 +124,26 @@
     assert not script.ended.is_set()
 
 
+def test_call_of_a_peer_with_an_endless_answer_fails(endless) -> None:
+    server, script = endless
+    peer = FleetMember("e-2", "zone-a", "127.0.0.1:1", server.address, "x")
+    with pytest.raises(PeerUnavailableError):
+        make_fleet_peers("e-1").changes(peer, "op", 0)
+    assert not script.ended.is_set()
+
+
+def test_head_is_bounded_in_bytes() -> None:
+    """Only the number of lines was bounded, each of up to 64 KiB."""
+    long_head = HEAD + b"".join(b"A%d: %s\r\n" % (n, BLOCK[:3000]) for n in range(60))
+    server = ScriptedServer(lambda received: [long_head + b"Content-Length: 0\r\n\r\n"])
+    connection = open_connection(server.address, CHECK_TIMEOUT_S)
+    connection.request("GET", "/")
+    with pytest.raises(MalformedAnswerError, match="head is larger"):
+        connection.getresponse()
+    connection.close()
+    server.close()
+
+
 @pytest.fixture
 def system():
     system = start_fleet_system(retry_slack=50.0)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,11 +7,13 @@
 the settings; nothing is asserted about times or about the share of served requests.
 """
 
+import contextlib
 import os
 import subprocess
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import attrs
 import pytest
@@ -99,6 +101,16 @@
 @pytest.fixture
 def serve(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[EntryProcess]:
     """Start one entry of a fleet, and a backend server that it uses."""
+    descriptors = getattr(request, "param", DESCRIPTORS)
+    with running_entry(tmp_path, script, descriptors) as entry:
+        yield entry
+
+
+@contextlib.contextmanager
+def running_entry(
+    tmp_path: Path, script: Any, descriptors: int = DESCRIPTORS
+) -> Iterator[EntryProcess]:
+    """Run one entry of a fleet, and a backend server that answers by a script."""
     address, state = start_row_store()
     slow_route = route("/a/", "svc", timeoutMs=10_000, targetLatencyMs=5000)
     state.put_json("op", "config", config(1, {"r": slow_route}, "svc"))
@@ -112,7 +124,7 @@
     limits = f"[limits]\nmemory_mb = {MEMORY_MB}"
     try:
         entry = processes.launch("entry-1", address, "zone-a", limits)
-        limit_descriptors(entry.process.pid, getattr(request, "param", DESCRIPTORS))
+        limit_descriptors(entry.process.pid, descriptors)
         wait_until(entry.ready, "the entry is ready")
         answered(entry.address_by_use["caller"], "/a/1/200/0")
         yield entry
