A body in tiny pieces takes no more memory than its size

Cause: each chunk became an object of some forty bytes in the list of pieces, while the memory budget counts the bytes of the body.

Test: test_answers_without_an_end[chunks] failed on the code before.

--- a/dotterelpier/clients/answer_parts.py
+++ b/dotterelpier/clients/answer_parts.py
@@ -66,19 +66,26 @@
 
 def collect(
     pieces: Iterator[bytes], length: int | None, reserved: Reservation
-) -> list[bytes]:
-    """Read pieces until the body ends or they exceed what is held whole."""
-    collected: list[bytes] = []
+) -> list[bytearray]:
+    """Read pieces until the body ends or they exceed what is held whole.
+
+    Small pieces are joined: a body in chunks of a few bytes would else take many times
+    its size.
+    """
+    collected: list[bytearray] = []
     size = 0
     reserved.grow_for(length, size)
     while size <= reserved.limit_bytes() and (piece := next(pieces, b"")):
-        collected.append(piece)
+        if collected and len(collected[-1]) + len(piece) <= PIECE_BYTES:
+            collected[-1] += piece
+        else:
+            collected.append(bytearray(piece))
         size += len(piece)
         reserved.grow_for(length, size)
     return collected
 
 
-def drain(collected: list[bytes]) -> Iterator[bytes]:
+def drain(collected: list[bytearray]) -> Iterator[bytes]:
     """Yield pieces and drop each one, so that it is held only once."""
     while collected:
-        yield collected.pop(0)
+        yield bytes(collected.pop(0))
--- a/dotterelpier/clients/pooled_connection.py
+++ b/dotterelpier/clients/pooled_connection.py
@@ -310,7 +310,7 @@
         self,
         response: StrictResponse,
         exchange: PooledExchange,
-        start: list[bytes],
+        start: list[bytearray],
         pieces: Iterator[bytes],
         reserved: Reservation,
     ) -> bool:
--- a/tests/test_endless_answer_memory.py
+++ b/tests/test_endless_answer_memory.py
@@ -22,6 +22,7 @@
 # Longest line that http.client accepts, and how many of them in one head.
 LINE_BYTES = 65_000
 LINES = 99
+TINY_CHUNKS = 400_000
 STALL_S = 4.0
 LONG_LINES = b"".join(
     b"X-%d: %s\r\n" % (number, b"a" * LINE_BYTES) for number in range(LINES)
@@ -41,6 +42,12 @@
     time.sleep(STALL_S)
 
 
+def send_tiny_chunks(received):
+    yield signed_head(received, "Transfer-Encoding: chunked")
+    yield b"2\r\nxx\r\n" * TINY_CHUNKS
+    time.sleep(STALL_S)
+
+
 def send_body_without_end(received):
     yield signed_head(received, "Content-Length: 999999999999")
     for _ in range(100):
@@ -49,13 +56,14 @@
 
 ENDLESS_BY_KIND = {
     "head": send_long_head,
+    "chunks": send_tiny_chunks,
     "body": send_body_without_end,
 }
 
 
 @pytest.mark.parametrize("kind", ENDLESS_BY_KIND)
 def test_answers_without_an_end(tmp_path, kind) -> None:
-    """The process kept all bytes of each head, up to 6.5 MB."""
+    """The process kept all bytes of each head, and each tiny piece of a body."""
     with running_entry(tmp_path, send_endless) as entry:
         act = send_rounds(get(f"/a/endless/{kind}"), rounds=3)
         misbehave(entry, "caller", THREADS, act)
