An older table of another entry does not replace a newer one

Evidence: the test; not seen in a log.

Fix: a follower remembers up to which version it passed its table on and asks again where a whole table is older.

--- a/dotterelpier/fleet/follower.py
+++ b/dotterelpier/fleet/follower.py
@@ -65,6 +65,8 @@
     _clock: Clock
     _tasks: Tasks
     _cursor: int | None = None
+    # Newest version up to which the table was passed on; kept when the cursor is lost.
+    _passed_on_version: int = -1
     _store_backoff_until: float = float("-inf")
     # Whether the next call goes to the store, as no other entry can tell what changed.
     _read_store_next: bool = False
@@ -113,6 +115,7 @@
 
     def _follow_once(self) -> None:
         reply = self._next_reply()
+        self._check_not_older(reply)
         self._link.record_success()
         try:
             if reply.whole:
@@ -128,11 +131,25 @@
                 version=reply.version,
             )
         if reply.version >= 0:
-            self._cursor = reply.version
+            self._cursor = self._passed_on_version = reply.version
             self._mirrors.note_applied(self.table, reply.version)
         if any(row.value is not None for row in reply.rows):
             self._stopped.wait(self.batch_pause_s)
 
+    def _check_not_older(self, reply: StoreReply) -> None:
+        """Reject a whole table that is older than what was passed on before.
+
+        Another entry may be behind the store, and this one lost its cursor.
+        """
+        if reply.whole and reply.version < self._passed_on_version:
+            # The other entry catches up meanwhile, if the store does not answer.
+            self._stopped.wait(RECONNECT_DELAY_S)
+            message = (
+                f"table as of version {reply.version} is older than the one in force,"
+                f" {self._passed_on_version}"
+            )
+            raise PeerUnavailableError(message, step="follower", peer=self.table)
+
     def _next_reply(self) -> StoreReply:
         reads_from_peers, self._read_store_next = self._reads_from_peers(), False
         if reads_from_peers:
--- a/tests/test_row_store.py
+++ b/tests/test_row_store.py
@@ -229,7 +229,7 @@
         return True
 
     def watch(
-        self, table: str, after: int, wait_s: float, *, until_publisher: bool
+        self, table: str, after: int, wait_s: float, *, until_publisher: bool = False
     ) -> StoreReply:
         self.reads += 1
         return StoreReply((), 0, True)
@@ -335,3 +335,58 @@
     link.close()
     waiting.join(5.0)
     assert not waiting.is_alive()
+
+
+class ForgetfulStore:
+    """Store that answers one read of each table, then forgets its history and fails."""
+
+    def __init__(self) -> None:
+        self.read_tables: set[str] = set()
+        self.answers_again = threading.Event()
+
+    def connect(self) -> "ForgetfulStore":
+        return self
+
+    def read(self, table: str) -> StoreReply:
+        if table in self.read_tables and not self.answers_again.is_set():
+            raise PlatformUnavailableError("away", step="store.read")
+        self.read_tables.add(table)
+        version = 9 if self.answers_again.is_set() else 5
+        return StoreReply((StoreRow("k", b"%d" % version, version),), version, True)
+
+    def watch(self, table: str, after: int, wait_s: float) -> StoreReply:
+        if self.answers_again.wait(0.05) and after == 9:
+            return StoreReply((), after)
+        raise HistoryLostError("forgotten", step="store.watch")
+
+    def abort(self) -> None:
+        """Do nothing: no call blocks for long."""
+
+    close = abort
+
+
+class OutdatedReplicas(LaggingReplicas):
+    """Replicas of a publisher that is behind what the store answered first."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked_tables: set[str] = set()
+
+    def has_other_publisher(self, table: str) -> bool:
+        return True
+
+    def wait_for_seed(self, table: str) -> bool:
+        asked, self.asked_tables = self.asked_tables, self.asked_tables | {table}
+        return table in asked
+
+
+def test_older_table_of_another_entry_does_not_replace_a_newer_one() -> None:
+    """An entry that lost its cursor took back changes, such as a server that left."""
+    stores, replicas = ForgetfulStore(), OutdatedReplicas()
+    pair = FollowerPair(stores, replicas)
+    wait_until(lambda: replicas.reads >= 4, "the publisher is asked")
+    snapshots = pair.snapshots
+    stores.answers_again.set()
+    wait_until(lambda: pair.value_by_key.get("k") == b"9", "the store is read again")
+    pair.stop()
+    assert snapshots == len(pair.followers)
