A home of usage caps answers a request for no grants

With more than one token in the bucket the wait until there is room was negative and could not be encoded ("datagram receiver failed", "Value out of range" in the log), so the entry got no reply and went on alone. Fix: no tokens are missing then, so the wait is 0.

Test: test_reply_to_a_request_for_no_grants_is_encoded failed on the code before (wait of -0.97 s).

--- a/dotterelpier/fleet/usage_caps/home.py
+++ b/dotterelpier/fleet/usage_caps/home.py
@@ -184,4 +184,4 @@
 
     def _room_s(self, now: float) -> float:
         missing = 1 - self._bucket.level + self._refused.value(now)
-        return missing / self._bucket.cap.rate_per_s
+        return max(0.0, missing) / self._bucket.cap.rate_per_s
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -17,6 +17,8 @@
 from loguru import logger
 
 from dotterelpier.fleet.ranking import first
+from dotterelpier.fleet.usage_caps.bucket import TokenBucket
+from dotterelpier.fleet.usage_caps.home import AccountHome
 from dotterelpier.model.account import UsageCap
 from dotterelpier.model.grant import GrantReply, GrantRequest
 from dotterelpier.protocols import ServiceName
@@ -140,6 +142,15 @@
     assert grants.decode_grant_reply(grants.encode_grant_reply(reply)) == reply
 
 
+def test_reply_to_a_request_for_no_grants_is_encoded() -> None:
+    """Its negative wait was not, so the entry took the home for silent."""
+    home = AccountHome(1, TokenBucket(UsageCap(30.0, 30.0), 30.0, 0.0), None)
+    grant = home.grant("e-2", wanted=0, alone=0, now=0.0, entries=3)
+    assert (grant.count, grant.hold_s, grant.room_s) == (0, 0.0, 0.0)
+    reply = GrantReply(1, "a", 0, grant.hold_s, grant.room_s, grant.fill, 0.0)
+    assert grants.decode_grant_reply(grants.encode_grant_reply(reply)) == reply
+
+
 @pytest.fixture
 def two():
     """Two entries, of which the first is the home of the account."""
