Requests behind a long answer start when it is complete

Cause: requests behind the one in turn were started while its answer was not known, and whether it may break off was asked only once its head was being written. Evidence: in the test, both requests behind the long one are at the backend servers while that is held back.

Fix: nothing starts behind a request whose route declares large bodies until its answer is complete. An answer above 1 MiB on another route can still take those behind it along.

Cost: those behind wait for the long answer.

--- a/dotterelpier/fleet/forwarding.py
+++ b/dotterelpier/fleet/forwarding.py
@@ -88,6 +88,12 @@
         route = table.match(host, path) if table else None
         return route is not None and bool(route.shares) and route.idempotent
 
+    def has_large_answers(self, host: str, path: str) -> bool:
+        """Return whether the route of a request declares large bodies."""
+        table = self._routes.table()
+        route = table.match(host, path) if table else None
+        return route is not None and route.large_bodies
+
     def serve(self, request: Request) -> Reply:
         """Return the final answer to a request; blocks until it or the deadline.
 
--- a/dotterelpier/frontends/clients.py
+++ b/dotterelpier/frontends/clients.py
@@ -111,6 +111,11 @@
         path = target.partition("?")[0]
         return self._forwarding.is_idempotent(_host_name(host), path)
 
+    def may_break_off(self, host: str, target: str) -> bool:
+        """Return whether the answer may be streamed, as its route has large bodies."""
+        path = target.partition("?")[0]
+        return self._forwarding.has_large_answers(_host_name(host), path)
+
     def answer_early(self, environ: Environ) -> Reply:
         """Serve a request whose answer may not be sent yet."""
         self._metrics.count("pipelined_requests")
--- a/dotterelpier/frontends/early_requests.py
+++ b/dotterelpier/frontends/early_requests.py
@@ -27,6 +27,13 @@
         """
         ...
 
+    def may_break_off(self, host: str, target: str) -> bool:
+        """Return whether the answer may be streamed, and so break off midway.
+
+        ``host`` and ``target`` are as the client sent them. The method must not block.
+        """
+        ...
+
     def answer_early(self, environ: dict[str, Any]) -> Reply:
         """Serve a request; its reply comes back in the environment on its turn."""
         ...
--- a/dotterelpier/frontends/pipelining.py
+++ b/dotterelpier/frontends/pipelining.py
@@ -239,9 +239,12 @@
         may_close = stopping or request is self._answered or _asks_to_close(request)
         if early is None:
             may_start_early = _may_start_early(request, serving)
+            may_close = may_close or _may_break_off(request, serving)
             return QueuedRequest(may_start_early, may_close)
-        held_bytes = early.held_bytes if early.done else 0
-        return QueuedRequest(True, may_close or early.may_break, True, held_bytes)
+        if not early.done:
+            may_close = may_close or _may_break_off(request, serving)
+            return QueuedRequest(True, may_close, started=True)
+        return QueuedRequest(True, may_close or early.may_break, True, early.held_bytes)
 
     def _serve_early(self, early: EarlyRequest) -> None:
         """Serve a request in a worker thread; answer it if its turn has come."""
@@ -317,6 +320,12 @@
     return "close" in (option.strip() for option in options)
 
 
+def _may_break_off(request: Any, serving: EarlyServing) -> bool:
+    """Return whether the answer, not yet known, may break off while it is sent."""
+    host = request.headers.get("HOST", "")
+    return serving.application.may_break_off(host, request.request_uri)
+
+
 def _may_start_early(request: Any, serving: EarlyServing) -> bool:
     if request.error or request.body_rcv is not None or request.expect_continue:
         return False
--- a/dotterelpier/protocols/fleet/requests.py
+++ b/dotterelpier/protocols/fleet/requests.py
@@ -412,6 +412,13 @@
         """
         ...
 
+    def has_large_answers(self, host: str, path: str) -> bool:
+        """Return whether the route of a request declares large bodies.
+
+        ``host`` is in lower case, without port. The method must not block.
+        """
+        ...
+
     def serve(self, request: Request) -> Reply:
         """Return the final answer to a request; blocks until it or the deadline.
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -51,6 +51,7 @@
         routes = {
             "a": route("/a/", "svc", **options),
             "b": route("/b/", "svc", **{**options, "kind": "non_idempotent"}),
+            "c": route("/c/", "svc", **{**options, "kind": "download"}),
         }
         self.system.apply(1, routes, "svc")
         self.system.register(*self.instances)
@@ -384,6 +385,29 @@
     wait_until(lambda: entry.count(FAILED) == failed + 1, "the second one ended")
 
 
+@pytest.mark.parametrize("ahead", [(), ("/a/hold-1",)])
+def test_nothing_runs_behind_a_long_answer_that_breaks_off(entry, ahead) -> None:
+    """Requests behind it ran, and their answers were lost with the connection."""
+    targets = (*ahead, "/c/hold-cut", "/a/2", "/a/3")
+    with entry.connect() as connection:
+        connection.sendall(b"".join(map(get, targets)))
+        entry.wait_for_runs(*ahead, "/c/hold-cut")
+        entry.release(*ahead, "/c/hold-cut")
+        received = b"".join(iter(lambda: connection.recv(1 << 20), b""))
+    assert received.count(b"HTTP/1.1") == len(ahead) + 1
+    entry.settle()
+    assert sorted(entry.runs()) == sorted((*ahead, "/c/hold-cut"))
+
+
+def test_requests_behind_a_long_answer_run_once_it_is_complete(entry) -> None:
+    with entry.connect() as connection, connection.makefile("rb") as stream:
+        connection.sendall(get("/c/hold-1") + get("/a/2") + get("/a/3"))
+        entry.wait_for_runs("/c/hold-1")
+        entry.release("/c/hold-1")
+        bodies = [read_answer(stream).body for _ in range(3)]
+    assert bodies == [b"/c/hold-1", b"/a/2", b"/a/3"]
+
+
 def test_stream_whose_turn_comes_too_late_is_not_begun(entry) -> None:
     """Guards against a success that breaks off, as its stream ended meanwhile."""
     late = get("/a/x-large", "X-Dotterelpier-Deadline-Ms: 400")
